--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Every target explains itself: run `make help`.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+export PYTHONPATH := $(CURDIR)
+
+.DEFAULT_GOAL := help
+
+help:  ## List the targets.
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:[^#]*## /\t/'
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		--requirement requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		--no-deps --editable .
+	touch $@
+
+setup: $(STAMP)  ## Make the virtual environment and install all that is locked.
+
+lint: $(STAMP)  ## Check format and lint; changes nothing.
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)  ## Format the code and mend what the linter can mend.
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+test: $(STAMP)  ## Run every test; ends with `N passed, N failed`.
+	$(PYTHON) -m tests.runner
+
+proto: $(STAMP)  ## Make the committed protobuf and gRPC code again.
+	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
+		kumquatshift/wire/entry.proto
+
+.PHONY: help setup lint format test proto
--- /dev/null
+++ b/kumquatshift/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the engine's ports and the network."""
--- /dev/null
+++ b/kumquatshift/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/kumquatshift/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that users start, one module each."""
--- /dev/null
+++ b/kumquatshift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries, and the code generated from them."""
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks shared by all features."""
--- /dev/null
+++ b/tests/runner.py
@@ -0,0 +1,90 @@
+"""Run every feature, each in a process of its own, and print one verdict.
+
+Tests listed in KNOWN-RED.txt may fail: they are printed and passed over.
+"""
+
+import json
+import os
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+FEATURES = ROOT / "tests" / "features"
+REPORTS = ROOT / "build" / "behave"
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+FEATURE_TIMEOUT_S = 280
+JOBS = max(1, min(5, (os.cpu_count() or 2) // 2))
+
+
+def known_red():
+    """Names of the scenarios that may fail: the values of the `test:` lines."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {ln.split(":", 1)[1].strip() for ln in lines if ln.startswith("test:")}
+
+
+def run_feature(path):
+    """Run one feature; return (path, scenario results, output)."""
+    report = REPORTS / (path.stem + ".json")
+    report.unlink(missing_ok=True)
+    cmd = [sys.executable, "-m", "behave", "--no-color", "--format", "json"]
+    cmd += ["--outfile", str(report), "--format", "progress", "--outfile", "-"]
+    cmd += [str(path)]
+    try:
+        done = subprocess.run(
+            cmd, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
+        )
+        output = done.stdout + done.stderr
+    except subprocess.TimeoutExpired as exc:
+        output = f"timed out after {exc.timeout} s\n{exc.stdout or ''}"
+    return path, read_report(report), output
+
+
+def read_report(report):
+    """Return [(scenario name, passed)] of one JSON report, [] if unreadable."""
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        return []
+    return [
+        (element["name"], element.get("status") == "passed")
+        for feature in features
+        for element in feature.get("elements", [])
+        if element["type"] != "background"
+    ]
+
+
+def main():
+    """Run all; the exit status is 0 when only known failures were seen."""
+    REPORTS.mkdir(parents=True, exist_ok=True)
+    paths = sorted(FEATURES.glob("*.feature"))
+    wanted = sys.argv[1:]
+    if wanted:
+        paths = [path for path in paths if path.stem in wanted]
+    red = known_red()
+    passed, failed, seen_red = 0, [], []
+    with ThreadPoolExecutor(JOBS) as pool:
+        for path, results, output in pool.map(run_feature, paths):
+            bad = [name for name, ok in results if not ok]
+            new = [name for name in bad if name not in red]
+            seen_red += [name for name in bad if name in red]
+            passed += len(results) - len(bad)
+            if not results:
+                new = [f"{path.stem}: no result"]
+            failed += [f"{path.stem}: {name}" for name in new]
+            print(f"{path.stem}: {len(results) - len(bad)} passed, {len(bad)} not")
+            if new:
+                print(output)
+    for name in seen_red:
+        print(f"known red, passed over: {name}")
+    for name in failed:
+        print(f"FAILED {name}")
+    print(f"{passed} passed, {len(failed)} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
