--- /dev/null
+++ b/kumquatshift/adapters/control.py
@@ -0,0 +1,104 @@
+"""gRPC between entries: fetch configuration, hand records over."""
+
+import json
+from collections.abc import Callable, Iterable
+
+import grpc
+from loguru import logger
+from returns.pipeline import is_successful
+
+from ..codec import object_from_json, object_to_json
+from ..engine.messages import RecordBatch
+from ..engine.objects import Versioned
+from ..wire import entry_pb2 as pb, entry_pb2_grpc as rpc
+from .envelope import decode_batch, encode_batch
+
+CALL_TIMEOUT_S = 2.0
+
+log = logger.bind(part="control")
+
+
+class ControlServicer(rpc.ControlServicer):
+    """Answers the calls of other entries."""
+
+    def __init__(
+        self,
+        config_since: Callable[[tuple[int, ...]], Iterable[Versioned]],
+        take_records: Callable[[str, RecordBatch], None],
+    ):
+        self._config_since = config_since
+        self._take_records = take_records
+
+    async def Sync(self, request, context):  # noqa: N802
+        """Return the objects in the buckets that differ."""
+        digests = tuple(request.digests)
+        try:
+            objects = self._config_since(digests)
+        except IndexError:
+            text = "one digest for each bucket is needed"
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
+        values = [json.dumps(object_to_json(obj)) for obj in objects]
+        return pb.SyncReply(objects=values)
+
+    async def Copy(self, request, context):  # noqa: N802
+        """Hold the records that a leaving entry hands over."""
+        try:
+            batch = decode_batch(request.records)
+        except (ValueError, IndexError):
+            text = "the columns of the records differ in length"
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, text)
+        self._take_records(request.sender, batch)
+        return pb.CopyReply()
+
+
+class ControlClient:
+    """Calls other entries; keeps one channel for each."""
+
+    def __init__(self, open_channel: Callable[[str], grpc.aio.Channel]):
+        self._open_channel = open_channel
+        self._stubs: dict[str, rpc.ControlStub] = {}
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def sync(self, place: str, digests: tuple[int, ...]) -> list[Versioned]:
+        """Return the objects that the entry at ``place`` has and we lack."""
+        request = pb.SyncRequest(digests=digests)
+        reply = await self._stub(place).Sync(request, timeout=CALL_TIMEOUT_S)
+        read = [object_from_json(json.loads(text)) for text in reply.objects]
+        bad = [each for each in read if not is_successful(each)]
+        if bad:
+            log.warning("{} objects from {} can not be read.", len(bad), place)
+        return [each.unwrap() for each in read if is_successful(each)]
+
+    async def copy(self, place: str, sender: str, batch: RecordBatch) -> None:
+        """Hand records over; returns once the entry at ``place`` holds them."""
+        request = pb.CopyRequest(sender=sender, records=encode_batch(batch))
+        await self._stub(place).Copy(request, timeout=CALL_TIMEOUT_S)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    def _stub(self, place):
+        if place not in self._stubs:
+            self._channels[place] = self._open_channel(place)
+            self._stubs[place] = rpc.ControlStub(self._channels[place])
+        return self._stubs[place]
+
+
+async def serve(
+    servicer: ControlServicer,
+    place: str,
+    credentials: grpc.ServerCredentials | None,
+) -> grpc.aio.Server:
+    """Start the control port; an unencrypted one without credentials."""
+    server = grpc.aio.server()
+    rpc.add_ControlServicer_to_server(servicer, server)
+    if credentials is None:
+        server.add_insecure_port(place)
+    else:
+        server.add_secure_port(place, credentials)
+    await server.start()
+    return server
+
+
--- /dev/null
+++ b/kumquatshift/adapters/envelope.py
@@ -0,0 +1,170 @@
+"""Messages between entries as protobuf bytes, and back."""
+
+from ..engine.messages import (
+    Direction,
+    EntryState,
+    Heartbeat,
+    Message,
+    Record,
+    RecordBatch,
+    Relay,
+)
+from ..wire import entry_pb2 as pb
+
+
+class MalformedEnvelopeError(ValueError):
+    """The bytes are authentic but no envelope of this version."""
+
+
+def encode(sender: str, message: Message) -> bytes:
+    """Return the bytes of a message from the entry ``sender``."""
+    if isinstance(message, Relay):
+        body = pb.Envelope(sender=sender, relay=_relay(message))
+    elif isinstance(message, RecordBatch):
+        body = pb.Envelope(sender=sender, records=encode_batch(message))
+    else:
+        body = pb.Envelope(sender=sender, heartbeat=_heartbeat(message))
+    return body.SerializeToString()
+
+
+def decode(data: bytes) -> tuple[str, Message]:
+    """Return sender and message; raise `MalformedEnvelopeError` for anything else."""
+    try:
+        envelope = pb.Envelope.FromString(data)
+        kind = envelope.WhichOneof("body")
+        if kind == "relay":
+            return envelope.sender, _read_relay(envelope.relay)
+        if kind == "records":
+            return envelope.sender, decode_batch(envelope.records)
+        if kind == "heartbeat":
+            return envelope.sender, _read_heartbeat(envelope)
+    except (ValueError, IndexError, OverflowError) as exc:
+        raise MalformedEnvelopeError(str(exc)) from exc
+    except Exception as exc:
+        # Protobuf's own error type differs between its implementations.
+        raise MalformedEnvelopeError(str(exc)) from exc
+    raise MalformedEnvelopeError("the envelope is empty")
+
+
+def encode_batch(batch: RecordBatch) -> pb.RecordBatch:
+    """Return records in columns, grouped by service."""
+    by_service: dict[int, list[Record]] = {}
+    for record in batch.records:
+        by_service.setdefault(record.service, []).append(record)
+    groups = [_group(service, rows) for service, rows in by_service.items()]
+    return pb.RecordBatch(groups=groups)
+
+
+def decode_batch(batch: pb.RecordBatch) -> RecordBatch:
+    """Return the records of a batch; raise ValueError if columns differ."""
+    records = [record for group in batch.groups for record in _read_group(group)]
+    return RecordBatch(tuple(records))
+
+
+def _group(service, rows):
+    targets = sorted({row.target for row in rows})
+    index = {name: number for number, name in enumerate(targets)}
+    first = min(row.born_ms for row in rows)
+    group = pb.RecordGroup(
+        service=service,
+        targets=targets,
+        keys=[row.key for row in rows],
+        target_index=[index[row.target] for row in rows],
+        first_born_ms=first,
+        born_after_ms=[row.born_ms - first for row in rows],
+    )
+    # Columns without a value in any row are left out.
+    if any(row.epoch for row in rows):
+        group.epochs.extend(row.epoch for row in rows)
+    if any(row.tentative for row in rows):
+        group.tentative.extend(row.tentative for row in rows)
+    if any(row.detail for row in rows):
+        group.details.extend(row.detail for row in rows)
+    return group
+
+
+def _read_group(group):
+    size = len(group.keys)
+    columns = (
+        group.keys,
+        group.target_index,
+        group.born_after_ms,
+        group.epochs or [0] * size,
+        group.tentative or [False] * size,
+        group.details or [b""] * size,
+    )
+    for key, index, after, epoch, tentative, detail in zip(*columns, strict=True):
+        target = group.targets[index]
+        born_ms = group.first_born_ms + after
+        yield Record(key, target, group.service, born_ms, epoch, tentative, detail)
+
+
+def _relay(relay):
+    message = pb.Relay(
+        data=relay.data,
+        direction=relay.direction,
+        home=relay.home,
+        path=relay.path,
+        visited=relay.visited,
+        copies=relay.copies,
+    )
+    record = relay.record
+    if record is not None:
+        message.record.key = record.key
+        message.record.target = record.target
+        message.record.service = record.service
+        message.record.born_ms = record.born_ms
+        message.record.epoch = record.epoch
+        message.record.tentative = record.tentative
+        message.record.detail = record.detail
+    return message
+
+
+def _read_relay(message):
+    record = None
+    if message.HasField("record"):
+        row = message.record
+        record = Record(
+            row.key,
+            row.target,
+            row.service,
+            row.born_ms,
+            row.epoch,
+            row.tentative,
+            row.detail,
+        )
+    return Relay(
+        message.data,
+        Direction(message.direction),
+        message.home,
+        tuple(message.path),
+        tuple(message.visited),
+        record,
+        message.copies,
+    )
+
+
+def _heartbeat(beat):
+    return pb.Heartbeat(
+        domain=beat.domain,
+        incarnation=beat.incarnation,
+        sequence=beat.sequence,
+        state=beat.state,
+        digest=beat.digest,
+        address=beat.address,
+        heard=beat.heard,
+    )
+
+
+def _read_heartbeat(envelope):
+    beat = envelope.heartbeat
+    return Heartbeat(
+        envelope.sender,
+        beat.domain,
+        beat.incarnation,
+        beat.sequence,
+        EntryState(beat.state),
+        beat.digest,
+        beat.address,
+        tuple(beat.heard),
+    )
--- a/kumquatshift/engine/actions.py
+++ b/kumquatshift/engine/actions.py
@@ -20,6 +20,9 @@
     TARGET_CUT_OFF = "target-cut-off"
     DOMAIN_OUT = "domain-out"
     LOOP = "loop"
+    RESUMING = "resuming"
+    SILENT = "silent"
+    GIVEN_UP = "given-up"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/kumquatshift/engine/flows.py
@@ -0,0 +1,99 @@
+"""The flows that one entry holds, as primary or as standby."""
+
+from .messages import Record
+
+
+class Flow:
+    """One held flow; times are in seconds on the entry's clock.
+
+    ``holders`` names the entries that held a copy when the record was last
+    passed along them, and ``fresh_until`` is when it has to be again.
+    ``unanswered_since`` is the time of the first packet from the caller that
+    nothing came back for, or 0; ``answered`` tells whether anything ever came.
+    """
+
+    __slots__ = (
+        "answered",
+        "bucket",
+        "closing",
+        "fresh_until",
+        "holders",
+        "last_seen",
+        "record",
+        "tentative_until",
+        "unanswered_since",
+    )
+
+    def __init__(self, record: Record, bucket: int, now: float):
+        self.record = record
+        self.bucket = bucket
+        self.last_seen = now
+        self.holders: tuple[str, ...] = ()
+        self.fresh_until = 0.0
+        self.tentative_until = 0.0
+        self.unanswered_since = 0.0
+        self.closing = False
+        self.answered = False
+
+
+def prefer(one: Record | None, other: Record | None) -> Record | None:
+    """Return the record that stands where two copies of a flow differ.
+
+    A later opening of the same key stands before an earlier one, a confirmed
+    record before a proposal, and of two openings that did not know of each
+    other the older one. The rule is the same at every entry.
+    """
+    if one is None or other is None:
+        return one or other
+    return min(one, other, key=_rank)
+
+
+def _rank(record):
+    return (-record.epoch, record.tentative, record.born_ms, record.target)
+
+
+class FlowTable:
+    """All held flows by key, with the number held for each target."""
+
+    def __init__(self):
+        self.flows: dict[bytes, Flow] = {}
+        self.held: dict[str, int] = {}
+        self.get = self.flows.get
+
+    def __len__(self):
+        return len(self.flows)
+
+    def put(self, record: Record, bucket: int, now: float) -> Flow:
+        """Hold a record, in place of an earlier one of the same key."""
+        flow = self.flows.get(record.key)
+        if flow is None:
+            flow = Flow(record, bucket, now)
+            self.flows[record.key] = flow
+            self._count(record.target, 1)
+            return flow
+        if flow.record.target != record.target:
+            self._count(flow.record.target, -1)
+            self._count(record.target, 1)
+        if _is_another_opening(flow.record, record):
+            flow.closing = False
+            flow.unanswered_since = 0.0
+        flow.record = record
+        flow.last_seen = now
+        return flow
+
+    def remove(self, key: bytes) -> None:
+        """Forget a flow; no error if it is not held."""
+        flow = self.flows.pop(key, None)
+        if flow is not None:
+            self._count(flow.record.target, -1)
+
+    def _count(self, target, change):
+        count = self.held.get(target, 0) + change
+        if count:
+            self.held[target] = count
+        else:
+            self.held.pop(target, None)
+
+
+def _is_another_opening(one, other):
+    return (one.epoch, one.target) != (other.epoch, other.target)
--- a/kumquatshift/engine/messages.py
+++ b/kumquatshift/engine/messages.py
@@ -38,7 +38,8 @@
 
     An empty ``path`` asks the receiver to decide as the flow's home. Otherwise
     the receiver merges ``record`` with what it holds and passes the packet on
-    along ``path``; the last one sends it to the target.
+    along ``path``; the last one sends it to the target. The first ``copies``
+    of the path keep a copy of the record.
     """
 
     data: bytes
@@ -47,6 +48,7 @@
     path: tuple[str, ...] = ()
     visited: tuple[str, ...] = ()
     record: Record | None = None
+    copies: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,7 @@
 
     LIVE = 0
     LEAVING = 1
+    JOINING = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +72,8 @@
 
     ``incarnation`` grows with every start; ``heard`` names the peers whose own
     heartbeats arrive, so that a one-way cut is seen from both ends.
-    ``digest`` sums up the configuration in force.
+    ``digest`` sums up the configuration in force, and ``address`` is where the
+    entry's ports are.
     """
 
     name: str
@@ -78,6 +82,7 @@
     sequence: int
     state: EntryState
     digest: int
+    address: str = ""
     heard: tuple[str, ...] = ()
 
 
--- /dev/null
+++ b/kumquatshift/engine/node.py
@@ -0,0 +1,96 @@
+"""What the parts of one entry's engine share."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from .actions import Drop, DropReason
+from .choice import TargetChooser, admitted
+from .flows import FlowTable
+from .members import Membership, MemberTimers, Vm
+from .messages import EntryState, Record
+from .objects import Target
+from .ports import Clock, Randomness
+from .store import ConfigStore, ServiceView
+
+SETTLE_S = 15.0
+MAX_SETTLE_S = 60.0
+RECORD_WIRE_BYTES = 24
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Bounds on what one entry uses.
+
+    ``copy_bytes_per_s`` paces the background copy of records; ``max_flows`` is
+    the number of flows after which new ones are refused.
+    """
+
+    copy_bytes_per_s: float = 2500.0
+    max_flows: int = 500_000
+
+
+class Node:
+    """State of one entry: configuration, members, flows and counters."""
+
+    def __init__(
+        self,
+        me: Vm,
+        clock: Clock,
+        rng: Randomness,
+        timers: MemberTimers,
+        limits: Limits,
+    ):
+        self.me = me
+        self.name = me.name
+        self.clock = clock
+        self.rng = rng
+        self.limits = limits
+        self.timers = timers
+        self.store = ConfigStore()
+        self.members = Membership(me, timers, self.store.domain_in)
+        self.flows = FlowTable()
+        self.chooser = TargetChooser()
+        self.counters: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.state = EntryState.JOINING
+        self.ring_changed_at = clock.seconds()
+        self.resumed_at = float("-inf")
+        self.resuming = False
+
+    def settled(self, now: float) -> bool:
+        """Tell whether the ring has stood long enough for copies to be made."""
+        copy_bytes = len(self.flows) * RECORD_WIRE_BYTES
+        copy_s = copy_bytes / self.limits.copy_bytes_per_s
+        settle_s = min(MAX_SETTLE_S, SETTLE_S + copy_s)
+        return now - self.ring_changed_at > settle_s
+
+    def drop(self, reason: DropReason) -> Drop:
+        """Count a packet that goes no further."""
+        self.counters[reason.value] += 1
+        return Drop(reason)
+
+    def usable(self, record: Record, view: ServiceView) -> Target | None:
+        """Return the target of a record, or None if the record no longer holds.
+
+        A record holds while its service is the very one it was made for, its
+        target exists, and the target's failure domain is in service.
+        """
+        if record.service != view.created:
+            return None
+        target = view.targets.get(record.target)
+        if target is None or not self.store.domain_in(target.domain):
+            return None
+        return target
+
+    def choices(self, view: ServiceView) -> list[Target]:
+        """Return the targets that may take new work, as far as we can reach."""
+        in_service = [t for t in admitted(view) if self.store.domain_in(t.domain)]
+        reachable = [t for t in in_service if self.reaches(t.domain)]
+        return reachable or in_service
+
+    def reaches(self, domain: str) -> bool:
+        """Tell whether a domain can be reached, as far as its entries show."""
+        if domain in self.members.reachable_domains:
+            return True
+        known = self.members.members.values()
+        return not any(member.domain == domain for member in known)
--- /dev/null
+++ b/kumquatshift/engine/ring.py
@@ -0,0 +1,79 @@
+"""Which entries hold a flow: rendezvous hashing over the entries in service.
+
+Flows fall into buckets; each bucket has an order of entries. The first is the
+primary, which decides for the flow. The next two are its standbys; they are
+taken from other failure domains where there are any, so that no domain holds
+every copy. The order never depends on targets. Rendezvous hashing (Thaler and
+Ravishankar, 1998) moves only the buckets of an entry that joins or leaves.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+BUCKETS = 4096
+COPIES = 3
+
+
+def bucket_of(key: bytes) -> int:
+    """Return the bucket of a flow key."""
+    return xxhash.xxh3_64_intdigest(key) % BUCKETS
+
+
+def score(bucket: int, name: str) -> int:
+    """Return the rendezvous score of an entry for a bucket."""
+    return xxhash.xxh3_64_intdigest(name.encode(), bucket)
+
+
+@dataclass(frozen=True, slots=True)
+class RingEntry:
+    """An entry that can hold flows, and its failure domain."""
+
+    name: str
+    domain: str
+
+
+class Ring:
+    """The orders of all buckets for one set of entries.
+
+    Orders are worked out when first asked for and then kept::
+
+        ring = Ring([RingEntry("e1", "north-a"), RingEntry("e2", "north-b")])
+        primary = ring.order(bucket_of(key))[0]
+    """
+
+    def __init__(self, entries: Iterable[RingEntry]):
+        self.entries = tuple(sorted(entries, key=lambda entry: entry.name))
+        self.names = frozenset(entry.name for entry in self.entries)
+        self._orders: list[tuple[str, ...] | None] = [None] * BUCKETS
+        self._holders: list[tuple[str, ...] | None] = [None] * BUCKETS
+
+    def order(self, bucket: int) -> tuple[str, ...]:
+        """Return the names of all entries, the bucket's primary first."""
+        order = self._orders[bucket]
+        if order is None:
+            order = self._work_out(bucket)
+            self._orders[bucket] = order
+            self._holders[bucket] = order[:COPIES]
+        return order
+
+    def holders(self, bucket: int) -> tuple[str, ...]:
+        """Return the primary and the standbys of a bucket."""
+        holders = self._holders[bucket]
+        if holders is None:
+            self.order(bucket)
+            holders = self._holders[bucket]
+        return holders
+
+    def _work_out(self, bucket):
+        ranked = sorted(
+            self.entries, key=lambda entry: score(bucket, entry.name), reverse=True
+        )
+        first, used = [], set()
+        for entry in ranked:
+            if len(first) < COPIES and entry.domain not in used:
+                first.append(entry)
+                used.add(entry.domain)
+        rest = [entry for entry in ranked if entry not in first]
+        return tuple(entry.name for entry in first + rest)
--- /dev/null
+++ b/kumquatshift/engine/router.py
@@ -0,0 +1,355 @@
+"""Decide where each packet goes.
+
+Every packet of a flow is decided on by the flow's primary, which passes the
+packet along the standbys whenever the record has to be placed or confirmed: at
+the opening, after the ring has changed, and every third of the idle timeout. So
+records travel with the packets they belong to. While the ring has changed
+lately, an opening is passed along further entries, since an earlier holder may
+be among them; the best record met on the way decides.
+"""
+
+from dataclasses import replace
+
+from .actions import Action, DropReason, SendCaller, SendPeer, SendTarget
+from .flows import Flow, prefer
+from .messages import Direction, Record, RecordBatch, Relay
+from .node import Node
+from .packets import (
+    PROTOCOL_TCP,
+    TCP_FIN,
+    TCP_RST,
+    TCP_SYN,
+    check,
+    destination,
+    flow_key,
+    reverse_key,
+    source,
+    tcp_flags,
+)
+from .resets import reset_caller, reset_target
+from .ring import bucket_of
+from .store import ServiceView
+
+LOOKUP_HOPS = 8
+MAX_REDIRECTS = 3
+TENTATIVE_S = 0.25
+REFRESHES_PER_IDLE_TIMEOUT = 3
+COPIED_IDLE_FACTOR = 1 + 1 / REFRESHES_PER_IDLE_TIMEOUT
+
+_TCP_CHANGES = TCP_SYN | TCP_FIN | TCP_RST
+
+
+class Router:
+    """Packet decisions of one entry."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._answered: dict[str, float] = {}
+
+    def packet(self, data: bytes, now: float) -> list[Action]:
+        """Decide on a packet that came from the fabric."""
+        node = self._node
+        reason = check(data)
+        if reason is not None:
+            return [node.drop(reason)]
+        if node.resuming:
+            return [node.drop(DropReason.RESUMING)]
+        by_address = node.store.by_address
+        view = by_address.get(destination(data))
+        if view is not None:
+            return self._from_caller(view, data, now)
+        if source(data) in by_address:
+            return self._from_target(data, now)
+        return [node.drop(DropReason.UNKNOWN_SERVICE)]
+
+    def relay(self, relay: Relay, now: float) -> list[Action]:
+        """Decide on a packet that another entry passed to us."""
+        node = self._node
+        data = relay.data
+        reason = check(data)
+        if reason is not None:
+            return [node.drop(reason)]
+        if node.resuming:
+            return [node.drop(DropReason.RESUMING)]
+        if relay.direction is Direction.TO_CALLER:
+            return self._answer(data, now)
+        view = node.store.by_address.get(destination(data))
+        if view is None:
+            return [node.drop(DropReason.UNKNOWN_SERVICE)]
+        if relay.record is not None:
+            return self._pass_on(relay, view, now)
+        return self._redirect(relay, view, now)
+
+    def records(self, peer: str, batch: RecordBatch, now: float) -> list[Action]:
+        """Take in copies of records; tell the sender of any that are better."""
+        better = []
+        for record in batch.records:
+            own = self._own(record.key, now)
+            best = prefer(own and own.record, record)
+            if own is not None and best is own.record:
+                if _differ(best, record):
+                    better.append(best)
+                continue
+            self._hold(best, now)
+        return [SendPeer(peer, RecordBatch(tuple(better)))] if better else []
+
+    def _from_caller(self, view, data, now):
+        node = self._node
+        key = flow_key(data)
+        bucket = bucket_of(key)
+        holders = node.members.ring.holders(bucket)
+        if not holders:
+            return [node.drop(DropReason.DOMAIN_OUT)]
+        primary = holders[0]
+        if primary == node.name:
+            return self._decide(view, key, bucket, data, now)
+        flow = node.flows.get(key)
+        if flow is not None and node.name in holders and not _changes_state(data):
+            target = self._current(flow, view, holders, now)
+            if target is not None:
+                flow.last_seen = now
+                return [self._send(target, data)]
+        return [
+            SendPeer(primary, Relay(data, Direction.TO_TARGET, "", (), (node.name,)))
+        ]
+
+    def _redirect(self, relay, view, now):
+        """Act as the primary, or pass the packet to the one that is."""
+        node = self._node
+        data = relay.data
+        key = flow_key(data)
+        bucket = bucket_of(key)
+        holders = node.members.ring.holders(bucket)
+        if not holders:
+            return [node.drop(DropReason.DOMAIN_OUT)]
+        primary = holders[0]
+        visited = relay.visited
+        looped = primary in visited or len(visited) >= MAX_REDIRECTS
+        if primary == node.name or looped:
+            return self._decide(view, key, bucket, data, now)
+        return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
+
+    def _decide(self, view, key, bucket, data, now):
+        """Decide as the flow's primary."""
+        node = self._node
+        flow = node.flows.get(key)
+        if flow is None:
+            return self._open(view, key, bucket, data, now, epoch=0)
+        if node.usable(flow.record, view) is None:
+            return self._give_up(flow, view, data, now)
+        changes = _changes_state(data)
+        if flow.closing and changes and tcp_flags(data) & TCP_SYN:
+            return self._open(view, key, bucket, data, now, flow.record.epoch + 1)
+        if self._is_silent(flow, view, now):
+            return self._end_silent(flow, view, data, now)
+        holders = node.members.ring.holders(bucket)
+        self._note_unanswered(flow, now)
+        target = None if changes else self._current(flow, view, holders, now)
+        if target is None:
+            return self._place(flow, view, data, now)
+        flow.last_seen = now
+        return [self._send(target, data)]
+
+    def _open(self, view, key, bucket, data, now, epoch, avoid=""):
+        """Choose a target for a new flow and place its record."""
+        node = self._node
+        usable = [t for t in node.choices(view) if t.name != avoid]
+        if len(node.flows) >= node.limits.max_flows:
+            usable = []
+        target = node.chooser.pick(view, usable, node.flows.held, key, now)
+        if target is None:
+            return self._refuse(data, DropReason.NO_TARGET)
+        born_ms = int(now * 1000)
+        tentative = not node.settled(now)
+        record = Record(key, target.name, view.created, born_ms, epoch, tentative)
+        flow = node.flows.put(record, bucket, now)
+        flow.tentative_until = now + TENTATIVE_S if tentative else 0.0
+        node.counters["opened"] += 1
+        self._note_unanswered(flow, now)
+        return self._place(flow, view, data, now)
+
+    def _place(self, flow, view, data, now):
+        """Pass the packet along the standbys, so that they hold the record."""
+        node = self._node
+        ring = node.members.ring
+        holders = ring.holders(flow.bucket)
+        standbys = tuple(name for name in holders if name != node.name)
+        path = standbys
+        if self._unconfirmed(flow, now):
+            order = ring.order(flow.bucket) + node.members.leaving(now)
+            path = tuple(n for n in order if n != node.name)[:LOOKUP_HOPS]
+        self._mark_placed(flow, view, holders, data, now)
+        if not path:
+            return [self._send(node.usable(flow.record, view), data)]
+        relay = Relay(
+            data,
+            Direction.TO_TARGET,
+            node.name,
+            path[1:],
+            (),
+            flow.record,
+            len(standbys),
+        )
+        return [SendPeer(path[0], relay)]
+
+    def _pass_on(self, relay, view, now):
+        """Merge the record on its way with ours, and pass the packet on."""
+        node = self._node
+        carried = relay.record
+        if node.usable(carried, view) is None:
+            return [node.drop(DropReason.DOMAIN_OUT)]
+        own = self._own(carried.key, now)
+        best = prefer(carried, own and own.record)
+        actions = []
+        if best is not carried and _differ(best, carried):
+            actions.append(SendPeer(relay.home, RecordBatch((best,))))
+        if relay.copies > 0 or own is not None:
+            flow = self._hold(best, now)
+            holders = node.members.ring.holders(flow.bucket)
+            self._mark_placed(flow, view, holders, relay.data, now)
+        found = best is not carried and not best.tentative
+        if found or not relay.path:
+            target = node.usable(best, view)
+            return [*actions, self._send(target, relay.data)]
+        copies = max(0, relay.copies - 1)
+        onward = replace(relay, path=relay.path[1:], record=best, copies=copies)
+        return [*actions, SendPeer(relay.path[0], onward)]
+
+    def _from_target(self, data, now):
+        """Pass an answer to the flow's primary, which has to see it."""
+        node = self._node
+        bucket = bucket_of(reverse_key(data))
+        holders = node.members.ring.holders(bucket)
+        if not holders or holders[0] == node.name:
+            return self._answer(data, now)
+        relay = Relay(data, Direction.TO_CALLER, "", (), (node.name,))
+        return [SendPeer(holders[0], relay)]
+
+    def _answer(self, data, now):
+        flow = self._node.flows.get(reverse_key(data))
+        if flow is not None:
+            flow.last_seen = now
+            flow.unanswered_since = 0.0
+            flow.answered = True
+            self._answered[flow.record.target] = now
+            if data[9] == PROTOCOL_TCP and tcp_flags(data) & (TCP_FIN | TCP_RST):
+                flow.closing = True
+        return [SendCaller(data)]
+
+    def _own(self, key, now):
+        """Return our flow of this key if its record still holds, else None."""
+        node = self._node
+        flow = node.flows.get(key)
+        if flow is None:
+            return None
+        view = node.store.by_address.get(key[4:8] + key[10:13])
+        if view is None or node.usable(flow.record, view) is None:
+            return None
+        self._confirm(flow, now)
+        return flow
+
+    def _hold(self, record, now):
+        node = self._node
+        bucket = bucket_of(record.key)
+        flow = node.flows.put(record, bucket, now)
+        if record.tentative and not flow.tentative_until:
+            flow.tentative_until = now + TENTATIVE_S
+        flow.holders = node.members.ring.holders(bucket)
+        return flow
+
+    def _current(self, flow, view, holders, now):
+        """Return the flow's target if the packet can go straight to it."""
+        if flow.holders != holders or now >= flow.fresh_until:
+            return None
+        if flow.last_seen < self._node.resumed_at:
+            return None
+        if flow.record.tentative:
+            self._confirm(flow, now)
+            if flow.record.tentative:
+                return None
+        return self._node.usable(flow.record, view)
+
+    def _confirm(self, flow, now):
+        """End a proposal that no better record has met in time."""
+        if flow.record.tentative and now >= flow.tentative_until:
+            flow.record = replace(flow.record, tentative=False)
+            flow.tentative_until = 0.0
+
+    def _unconfirmed(self, flow, now):
+        self._confirm(flow, now)
+        doubtful = flow.fresh_until and flow.last_seen < self._node.resumed_at
+        return flow.record.tentative or doubtful
+
+    def _mark_placed(self, flow, view, holders, data, now):
+        flow.holders = holders
+        idle_s = view.profile.idle_timeout_s
+        flow.fresh_until = now + idle_s / REFRESHES_PER_IDLE_TIMEOUT
+        flow.last_seen = now
+        if tcp_flags(data) & (TCP_FIN | TCP_RST):
+            flow.closing = True
+
+    def _send(self, target, data):
+        self._node.sent[target.name] += 1
+        return SendTarget(target.host, target.port, data)
+
+    def _refuse(self, data, reason):
+        """Refuse a packet for good; a stream that never ran gets a reset."""
+        drop = self._node.drop(reason)
+        reset = reset_caller(data)
+        return [drop] if reset is None else [drop, SendCaller(reset)]
+
+    def _give_up(self, flow, view, data, now):
+        """End a flow whose target is gone, or whose service is another now."""
+        node = self._node
+        epoch = flow.record.epoch + 1
+        same_service = flow.record.service == view.created
+        opening = data[9] != PROTOCOL_TCP or tcp_flags(data) & TCP_SYN
+        if same_service and not opening:
+            return self._refuse(data, DropReason.GIVEN_UP)
+        bucket = flow.bucket
+        node.flows.remove(flow.record.key)
+        return self._open(view, flow.record.key, bucket, data, now, epoch)
+
+    def _note_unanswered(self, flow, now):
+        if not flow.unanswered_since:
+            flow.unanswered_since = now
+
+    def _is_silent(self, flow: Flow, view: ServiceView, now: float) -> bool:
+        """Tell whether the target lost the flow, while it answers others."""
+        since = flow.unanswered_since
+        if not since or now - since <= view.profile.silence_timeout_s:
+            return False
+        if flow.record.key[12] != PROTOCOL_TCP and not flow.answered:
+            return False
+        return self._answered.get(flow.record.target, 0.0) > since
+
+    def _end_silent(self, flow, view, data, now):
+        """Reset a lost flow at both ends; a datagram flow opens anew."""
+        node = self._node
+        target = node.usable(flow.record, view)
+        epoch = flow.record.epoch + 1
+        node.counters[DropReason.SILENT.value] += 1
+        if data[9] != PROTOCOL_TCP:
+            key, lost = flow.record.key, target.name
+            return self._open(view, key, flow.bucket, data, now, epoch, avoid=lost)
+        flow.closing = True
+        flow.unanswered_since = 0.0
+        actions = []
+        to_caller, to_target = reset_caller(data), reset_target(data)
+        if to_caller is not None:
+            actions.append(SendCaller(to_caller))
+        if to_target is not None:
+            actions.append(self._send(target, to_target))
+        return actions
+
+
+def _changes_state(data):
+    return data[9] == PROTOCOL_TCP and tcp_flags(data) & _TCP_CHANGES
+
+
+def _differ(one, other):
+    return (one.target, one.epoch, one.service) != (
+        other.target,
+        other.epoch,
+        other.service,
+    )
--- /dev/null
+++ b/kumquatshift/engine/store.py
@@ -0,0 +1,140 @@
+"""Configuration in force: the highest version seen of each object.
+
+Objects may arrive from the platform or from peers, in any order and more than
+once; merging keeps the highest version, so nothing ever reverts. Deleted
+objects stay as tombstones. Two stores that hold the same versions have the same
+digest; bucket digests tell in which part two stores differ.
+"""
+
+import ipaddress
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from .objects import (
+    Domain,
+    DomainState,
+    Kind,
+    Profile,
+    Protocol,
+    Service,
+    Target,
+    Versioned,
+)
+from .packets import PROTOCOL_TCP, PROTOCOL_UDP
+
+DIGEST_BUCKETS = 64
+
+_PROTOCOL_NUMBERS = {Protocol.UDP: PROTOCOL_UDP, Protocol.TCP: PROTOCOL_TCP}
+
+
+@dataclass(slots=True)
+class ServiceView:
+    """A service in force, with its profile and the names of its targets."""
+
+    service: Service
+    created: int
+    profile: Profile
+    targets: dict[str, Target] = field(default_factory=dict)
+
+
+class ConfigStore:
+    """All configuration objects that one entry knows."""
+
+    def __init__(self):
+        self.digest = 0
+        self.domains: dict[str, Domain] = {}
+        self.targets: dict[str, Target] = {}
+        self.by_address: dict[bytes, ServiceView] = {}
+        self.by_name: dict[str, ServiceView] = {}
+        self._objects: dict[tuple[Kind, str], Versioned] = {}
+        self._bucket_digests = [0] * DIGEST_BUCKETS
+
+    def merge(self, objects: Iterable[Versioned]) -> list[Versioned]:
+        """Take in objects; return those that were news."""
+        news = [obj for obj in objects if self._put(obj)]
+        if news:
+            self._rebuild()
+        return news
+
+    def get(self, kind: Kind, name: str) -> Versioned | None:
+        """Return one object, a tombstone included, or None."""
+        return self._objects.get((kind, name))
+
+    def objects(self) -> list[Versioned]:
+        """Return all objects, tombstones included."""
+        return list(self._objects.values())
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of every object by ``kind/name``."""
+        return {f"{k}/{name}": obj.version for (k, name), obj in self._objects.items()}
+
+    def bucket_digests(self) -> tuple[int, ...]:
+        """Return one digest for each part of the name space."""
+        return tuple(self._bucket_digests)
+
+    def differing(self, digests: tuple[int, ...]) -> list[Versioned]:
+        """Return the objects in the parts where ``digests`` differ from ours."""
+        return [
+            obj
+            for obj in self._objects.values()
+            if digests[_bucket(obj)] != self._bucket_digests[_bucket(obj)]
+        ]
+
+    def domain_in(self, name: str) -> bool:
+        """Tell whether a failure domain is in service; unknown ones are."""
+        domain = self.domains.get(name)
+        return domain is None or domain.state is DomainState.IN
+
+    def _put(self, obj):
+        key = (obj.kind, obj.name)
+        old = self._objects.get(key)
+        if old is not None and old.version >= obj.version:
+            return False
+        if old is not None:
+            self._toggle(old)
+        self._toggle(obj)
+        self._objects[key] = obj
+        return True
+
+    def _toggle(self, obj):
+        text = f"{obj.kind}/{obj.name}/{obj.version}".encode()
+        value = xxhash.xxh3_64_intdigest(text)
+        self.digest ^= value
+        self._bucket_digests[_bucket(obj)] ^= value
+
+    def _rebuild(self):
+        live = [obj for obj in self._objects.values() if obj.body is not None]
+        bodies = {kind: {} for kind in Kind}
+        for obj in live:
+            bodies[obj.kind][obj.name] = obj
+        self.domains = {n: o.body for n, o in bodies[Kind.DOMAIN].items()}
+        self.targets = {n: o.body for n, o in bodies[Kind.TARGET].items()}
+        self.by_name = {
+            name: _service_view(obj, bodies[Kind.PROFILE])
+            for name, obj in bodies[Kind.SERVICE].items()
+        }
+        self.by_address = {
+            service_address(view.service): view for view in self.by_name.values()
+        }
+        for name, target in self.targets.items():
+            if target.service in self.by_name:
+                self.by_name[target.service].targets[name] = target
+
+
+def service_address(service: Service) -> bytes:
+    """Return address, port and protocol as `packets.destination` gives them."""
+    address = ipaddress.IPv4Address(service.address).packed
+    protocol = _PROTOCOL_NUMBERS[service.protocol]
+    return address + service.port.to_bytes(2, "big") + bytes([protocol])
+
+
+def _service_view(obj, profiles):
+    profile = profiles.get(obj.body.profile)
+    body = profile.body if profile is not None else Profile(obj.body.profile)
+    return ServiceView(obj.body, obj.created, body)
+
+
+def _bucket(obj):
+    return xxhash.xxh32_intdigest(f"{obj.kind}/{obj.name}".encode()) % DIGEST_BUCKETS
--- /dev/null
+++ b/kumquatshift/engine/sweep.py
@@ -0,0 +1,136 @@
+"""Walk over the held flows a few at a time: forget the idle, copy the rest.
+
+A flow whose holders have changed is copied to the new ones in the background,
+so that flows without packets survive the next failure too. The first of the
+earlier holders that is still there sends the copy. Copies are paced by a budget
+of bytes a second, except at an entry that leaves. The first pass after a change
+of the ring copies only the flows with a single copy left, at a higher pace.
+"""
+
+from collections import defaultdict
+
+from .actions import Action, SendPeer
+from .messages import EntryState, RecordBatch
+from .node import RECORD_WIRE_BYTES, Node
+from .router import COPIED_IDLE_FACTOR
+
+FLOWS_PER_STEP = 4000
+RECORDS_PER_BATCH = 40
+CLOSE_LINGER_S = 30.0
+SPARE_S = 60.0
+SCARCE_COPY_FACTOR = 4.0
+LEAVING_COPY_BYTES_PER_S = 1_000_000.0
+MAX_BURST_S = 1.0
+
+
+class Sweeper:
+    """Expiry and background copy of one entry's flows."""
+
+    def __init__(self, node: Node):
+        self._node = node
+        self._keys: list[bytes] = []
+        self._budget_bytes = 0.0
+        self._last_step = node.clock.seconds()
+        self.passes_since_change = 0
+        self._scarce_only = False
+
+    def step(self, now: float) -> list[Action]:
+        """Look at the next few flows; return the copies to send."""
+        self._refill(now)
+        copies: dict[tuple[str, int], list] = defaultdict(list)
+        for _ in range(FLOWS_PER_STEP):
+            if self._budget_bytes <= 0:
+                break
+            if not self._keys and not (self._start_pass() and self._keys):
+                break
+            self._visit(self._keys.pop(), copies, now)
+        return [action for part in copies.items() for action in _batches(*part)]
+
+    def ring_changed(self) -> None:
+        """Start over, since any flow may have new holders now."""
+        self._scarce_only = True
+        self._keys = list(self._node.flows.flows)
+        self.passes_since_change = -1
+
+    def _refill(self, now):
+        rate = self._node.limits.copy_bytes_per_s
+        if self._scarce_only:
+            rate *= SCARCE_COPY_FACTOR
+        if self._node.state is EntryState.LEAVING:
+            rate = LEAVING_COPY_BYTES_PER_S
+        elapsed_s = now - self._last_step
+        self._last_step = now
+        earned = self._budget_bytes + rate * elapsed_s
+        self._budget_bytes = min(rate * MAX_BURST_S, earned)
+
+    def _start_pass(self):
+        """Begin the next pass; the steps of a full one begin with the next tick."""
+        again = self._scarce_only
+        self._scarce_only = False
+        self.passes_since_change += 1
+        self._keys = list(self._node.flows.flows)
+        return again
+
+    def _visit(self, key, copies, now):
+        flow = self._node.flows.get(key)
+        if flow is None:
+            return
+        if self._expired(flow, now):
+            self._node.flows.remove(key)
+            return
+        holders = self._node.members.ring.holders(flow.bucket)
+        if flow.holders == holders or not holders:
+            return
+        if self._scarce_only and self._copies_left(flow) > 1:
+            return
+        if self._sends_copy(flow.holders, holders):
+            self._copy(flow, holders, copies)
+        flow.holders = holders
+        flow.fresh_until = 0.0
+
+    def _copies_left(self, flow):
+        there = self._node.members.ring.names
+        return sum(name in there for name in flow.holders)
+
+    def _sends_copy(self, before, holders):
+        """Tell whether we are the first of the earlier holders still there."""
+        node = self._node
+        there = node.members.ring.names
+        for name in before:
+            if name == node.name:
+                return True
+            if name in there:
+                return False
+        return node.name not in before
+
+    def _copy(self, flow, holders, copies):
+        for name in holders:
+            if name == self._node.name or name in flow.holders:
+                continue
+            copies[name, flow.record.service].append(flow.record)
+            self._budget_bytes -= RECORD_WIRE_BYTES
+
+    def _expired(self, flow, now):
+        node = self._node
+        idle_s = now - flow.last_seen
+        if flow.closing:
+            return idle_s > CLOSE_LINGER_S
+        holders = node.members.ring.holders(flow.bucket)
+        if node.name not in holders and idle_s > SPARE_S and flow.holders == holders:
+            return True
+        key = flow.record.key
+        view = node.store.by_address.get(key[4:8] + key[10:13])
+        if view is None or view.created != flow.record.service:
+            return True
+        limit_s = view.profile.idle_timeout_s
+        if not holders or holders[0] != node.name:
+            limit_s *= COPIED_IDLE_FACTOR
+        return idle_s > limit_s
+
+
+def _batches(place, records):
+    peer, _service = place
+    return [
+        SendPeer(peer, RecordBatch(tuple(records[start : start + RECORDS_PER_BATCH])))
+        for start in range(0, len(records), RECORDS_PER_BATCH)
+    ]
