--- a/kumquatshift/adapters/control.py
+++ b/kumquatshift/adapters/control.py
@@ -100,5 +100,3 @@
         server.add_secure_port(place, credentials)
     await server.start()
     return server
-
-
--- /dev/null
+++ b/kumquatshift/engine/dump.py
@@ -0,0 +1,112 @@
+"""The whole state of one entry as typed values, for its dump."""
+
+from dataclasses import dataclass
+
+from .entry import EntryEngine
+
+
+@dataclass(frozen=True)
+class FlowCounts:
+    """Flows held in all, and those of them that this entry decides for."""
+
+    held: int
+    primary: int
+
+
+@dataclass(frozen=True)
+class TargetCounts:
+    """Flows held for one target, and packets sent to it from here."""
+
+    flows: int
+    sent: int
+    share: float
+
+
+@dataclass(frozen=True)
+class MemberState:
+    """What is known of one other entry; ``age_s`` is None if never heard."""
+
+    name: str
+    domain: str
+    address: str
+    state: str
+    alive: bool
+    hears_us: bool
+    in_step: bool
+    age_s: float | None
+
+
+@dataclass(frozen=True)
+class EntryDump:
+    """Everything that `kumquat-ctl dump` shows of one entry."""
+
+    name: str
+    domain: str
+    state: str
+    ready: bool
+    incarnation: int
+    settled: bool
+    reader: bool
+    ring: tuple[str, ...]
+    reachable_domains: tuple[str, ...]
+    flows: FlowCounts
+    targets: dict[str, TargetCounts]
+    members: tuple[MemberState, ...]
+    versions: dict[str, int]
+    digest: str
+    counters: dict[str, int]
+
+
+def dump(engine: EntryEngine) -> EntryDump:
+    """Return the state of an engine; costs one walk over its flows."""
+    node = engine.node
+    now = node.clock.seconds()
+    return EntryDump(
+        name=node.name,
+        domain=node.me.domain,
+        state=node.state.name.lower(),
+        ready=engine.ready,
+        incarnation=node.members.incarnation,
+        settled=node.settled(now),
+        reader=engine.watching,
+        ring=tuple(entry.name for entry in node.members.ring.entries),
+        reachable_domains=tuple(sorted(node.members.reachable_domains)),
+        flows=FlowCounts(len(node.flows), _primary_flows(node)),
+        targets={name: _target(node, name, now) for name in sorted(node.store.targets)},
+        members=tuple(_member(node, member, now) for member in _by_name(node)),
+        versions=node.store.versions(),
+        digest=f"{node.store.digest:016x}",
+        counters=dict(sorted(node.counters.items())),
+    )
+
+
+def _primary_flows(node):
+    ring = node.members.ring
+    flows = node.flows.flows.values()
+    return sum(ring.order(flow.bucket)[:1] == (node.name,) for flow in flows)
+
+
+def _target(node, name, now):
+    return TargetCounts(
+        flows=node.flows.held.get(name, 0),
+        sent=node.sent[name],
+        share=round(node.chooser.share(name, now), 3),
+    )
+
+
+def _by_name(node):
+    return sorted(node.members.members.values(), key=lambda member: member.name)
+
+
+def _member(node, member, now):
+    heard = member.incarnation > 0
+    return MemberState(
+        name=member.name,
+        domain=member.domain,
+        address=member.address,
+        state=member.state.name.lower(),
+        alive=node.members.alive(member, now),
+        hears_us=member.hears_us,
+        in_step=member.digest == node.store.digest,
+        age_s=round(now - member.last_heard, 3) if heard else None,
+    )
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .actions import Action, DropReason, SendPeer, SyncConfig, WatchPlatform
+from .actions import Action, SendPeer, SyncConfig, WatchPlatform
 from .members import MemberTimers, Vm
 from .messages import EntryState, Heartbeat, Message, RecordBatch, Relay
 from .node import Limits, Node
@@ -41,17 +41,16 @@
 class EntryEngine:
     """One entry of the system."""
 
-    def __init__(self, node: Node, incarnation: int):
+    def __init__(self, node: Node):
         self.node = node
         self._router = Router(node)
         self._sweeper = Sweeper(node)
-        self._incarnation = incarnation
         self._sequence = 0
         self._started_at = node.clock.seconds()
         self._last_event = self._started_at
         self._next_beat = self._started_at
         self._resume_until = 0.0
-        self._watching = False
+        self.watching = False
         self._last_packet = self._started_at
 
     @classmethod
@@ -59,8 +58,8 @@
         cls, cfg: EntryConfig, clock: Clock, rng: Randomness, incarnation: int
     ) -> "EntryEngine":
         """Make an engine; ``incarnation`` must grow with each start of an entry."""
-        node = Node(cfg.me, clock, rng, cfg.timers, cfg.limits)
-        engine = cls(node, incarnation)
+        node = Node(cfg.me, incarnation, clock, rng, cfg.timers, cfg.limits)
+        engine = cls(node)
         node.members.list_vms(cfg.peers, clock.seconds())
         return engine
 
@@ -154,7 +153,7 @@
         self._resume_until = now + MAX_JOIN_S
         node.members.excuse(gap_s)
         for flow in node.flows.flows.values():
-            flow.unanswered_since = 0.0
+            flow.unanswered = 0
 
     def _finish_resuming(self, now):
         node = self.node
@@ -220,7 +219,7 @@
         return Heartbeat(
             node.name,
             node.me.domain,
-            self._incarnation,
+            node.members.incarnation,
             self._sequence,
             node.state,
             node.store.digest,
@@ -231,9 +230,9 @@
     def _watch(self):
         """Hold the platform's watches if we are among the domain's readers."""
         hold = self._is_reader()
-        if hold == self._watching:
+        if hold == self.watching:
             return []
-        self._watching = hold
+        self.watching = hold
         return [WatchPlatform(hold)]
 
     def _is_reader(self):
@@ -262,6 +261,3 @@
         for name in self._domains_in() - before:
             if node.store.get(Kind.DOMAIN, name).version and not first:
                 node.chooser.chill(name, node.store.targets, now)
-
-
-__all__ = ["DropReason", "EntryConfig", "EntryEngine"]
--- a/kumquatshift/engine/flows.py
+++ b/kumquatshift/engine/flows.py
@@ -1,26 +1,32 @@
 """The flows that one entry holds, as primary or as standby."""
 
 from .messages import Record
+from .ring import RingEntry
+
+NEVER_S = float("inf")
+STALE_S = float("-inf")
 
 
 class Flow:
     """One held flow; times are in seconds on the entry's clock.
 
-    ``holders`` names the entries that held a copy when the record was last
-    passed along them, and ``fresh_until`` is when it has to be again.
-    ``unanswered_since`` is the time of the first packet from the caller that
-    nothing came back for, or 0; ``answered`` tells whether anything ever came.
+    ``holders`` are the entries that hold a copy as far as is known, and
+    ``placed_at`` is when a packet last carried the record to them. A proposal stands
+    from ``tentative_until`` on; only the entry that decides for the flow sets it.
+    ``unanswered`` counts the caller's packets since the last answer, the first of
+    them at ``unanswered_since``; ``answered`` tells whether any answer ever came.
     """
 
     __slots__ = (
         "answered",
         "bucket",
         "closing",
-        "fresh_until",
         "holders",
         "last_seen",
+        "placed_at",
         "record",
         "tentative_until",
+        "unanswered",
         "unanswered_since",
     )
 
@@ -28,9 +34,10 @@
         self.record = record
         self.bucket = bucket
         self.last_seen = now
-        self.holders: tuple[str, ...] = ()
-        self.fresh_until = 0.0
-        self.tentative_until = 0.0
+        self.holders: tuple[RingEntry, ...] = ()
+        self.placed_at = STALE_S
+        self.tentative_until = NEVER_S
+        self.unanswered = 0
         self.unanswered_since = 0.0
         self.closing = False
         self.answered = False
@@ -76,7 +83,7 @@
             self._count(record.target, 1)
         if _is_another_opening(flow.record, record):
             flow.closing = False
-            flow.unanswered_since = 0.0
+            flow.unanswered = 0
         flow.record = record
         flow.last_seen = now
         return flow
--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -63,8 +63,15 @@
 class Membership:
     """The members that one entry knows, and the ring that follows from them."""
 
-    def __init__(self, me: Vm, timers: MemberTimers, domain_in: Callable[[str], bool]):
+    def __init__(
+        self,
+        me: Vm,
+        incarnation: int,
+        timers: MemberTimers,
+        domain_in: Callable[[str], bool],
+    ):
         self.me = me
+        self.incarnation = incarnation
         self.timers = timers
         self.members: dict[str, Member] = {}
         self.ring = Ring([])
@@ -131,12 +138,13 @@
         reachable.add(self.me.domain)
         self.reachable_domains = frozenset(reachable)
         entries = [
-            RingEntry(member.name, member.domain)
+            RingEntry(member.name, member.domain, member.incarnation)
             for member in alive
             if member.state is EntryState.LIVE and self._domain_in(member.domain)
         ]
         if include_me and self._domain_in(self.me.domain):
-            entries.append(RingEntry(self.me.name, self.me.domain))
+            me = RingEntry(self.me.name, self.me.domain, self.incarnation)
+            entries.append(me)
         ring = Ring(entries)
         if ring.entries == self.ring.entries:
             return False
--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -35,6 +35,7 @@
     def __init__(
         self,
         me: Vm,
+        incarnation: int,
         clock: Clock,
         rng: Randomness,
         timers: MemberTimers,
@@ -47,7 +48,7 @@
         self.limits = limits
         self.timers = timers
         self.store = ConfigStore()
-        self.members = Membership(me, timers, self.store.domain_in)
+        self.members = Membership(me, incarnation, timers, self.store.domain_in)
         self.flows = FlowTable()
         self.chooser = TargetChooser()
         self.counters: Counter[str] = Counter()
--- a/kumquatshift/engine/ring.py
+++ b/kumquatshift/engine/ring.py
@@ -28,10 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RingEntry:
-    """An entry that can hold flows, and its failure domain."""
+    """An entry that can hold flows, its failure domain, and which start of it.
+
+    An entry that was started again holds nothing of what it held before, so
+    copies are counted by entry and incarnation.
+    """
 
     name: str
     domain: str
+    incarnation: int = 0
 
 
 class Ring:
@@ -46,23 +51,23 @@
     def __init__(self, entries: Iterable[RingEntry]):
         self.entries = tuple(sorted(entries, key=lambda entry: entry.name))
         self.names = frozenset(entry.name for entry in self.entries)
+        self.present = frozenset(self.entries)
         self._orders: list[tuple[str, ...] | None] = [None] * BUCKETS
-        self._holders: list[tuple[str, ...] | None] = [None] * BUCKETS
+        self._holders: list[tuple[RingEntry, ...] | None] = [None] * BUCKETS
 
     def order(self, bucket: int) -> tuple[str, ...]:
         """Return the names of all entries, the bucket's primary first."""
         order = self._orders[bucket]
         if order is None:
-            order = self._work_out(bucket)
-            self._orders[bucket] = order
-            self._holders[bucket] = order[:COPIES]
+            self._work_out(bucket)
+            order = self._orders[bucket]
         return order
 
-    def holders(self, bucket: int) -> tuple[str, ...]:
+    def holders(self, bucket: int) -> tuple[RingEntry, ...]:
         """Return the primary and the standbys of a bucket."""
         holders = self._holders[bucket]
         if holders is None:
-            self.order(bucket)
+            self._work_out(bucket)
             holders = self._holders[bucket]
         return holders
 
@@ -76,4 +81,6 @@
                 first.append(entry)
                 used.add(entry.domain)
         rest = [entry for entry in ranked if entry not in first]
-        return tuple(entry.name for entry in first + rest)
+        order = first + rest
+        self._orders[bucket] = tuple(entry.name for entry in order)
+        self._holders[bucket] = tuple(order[:COPIES])
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 
 from .actions import Action, DropReason, SendCaller, SendPeer, SendTarget
-from .flows import Flow, prefer
+from .flows import NEVER_S, STALE_S, Flow, prefer
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
 from .packets import (
@@ -33,6 +33,7 @@
 LOOKUP_HOPS = 8
 MAX_REDIRECTS = 3
 TENTATIVE_S = 0.25
+SILENT_PACKETS = 3
 REFRESHES_PER_IDLE_TIMEOUT = 3
 COPIED_IDLE_FACTOR = 1 + 1 / REFRESHES_PER_IDLE_TIMEOUT
 
@@ -84,7 +85,7 @@
         """Take in copies of records; tell the sender of any that are better."""
         better = []
         for record in batch.records:
-            own = self._own(record.key, now)
+            own = self._own(record.key)
             best = prefer(own and own.record, record)
             if own is not None and best is own.record:
                 if _differ(best, record):
@@ -100,11 +101,11 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = holders[0]
+        primary = holders[0].name
         if primary == node.name:
             return self._decide(view, key, bucket, data, now)
         flow = node.flows.get(key)
-        if flow is not None and node.name in holders and not _changes_state(data):
+        if flow is not None and not _changes_state(data):
             target = self._current(flow, view, holders, now)
             if target is not None:
                 flow.last_seen = now
@@ -122,7 +123,7 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = holders[0]
+        primary = holders[0].name
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
@@ -163,7 +164,7 @@
         tentative = not node.settled(now)
         record = Record(key, target.name, view.created, born_ms, epoch, tentative)
         flow = node.flows.put(record, bucket, now)
-        flow.tentative_until = now + TENTATIVE_S if tentative else 0.0
+        flow.tentative_until = now + TENTATIVE_S
         node.counters["opened"] += 1
         self._note_unanswered(flow, now)
         return self._place(flow, view, data, now)
@@ -173,12 +174,12 @@
         node = self._node
         ring = node.members.ring
         holders = ring.holders(flow.bucket)
-        standbys = tuple(name for name in holders if name != node.name)
+        standbys = tuple(h.name for h in holders if h.name != node.name)
         path = standbys
         if self._unconfirmed(flow, now):
             order = ring.order(flow.bucket) + node.members.leaving(now)
             path = tuple(n for n in order if n != node.name)[:LOOKUP_HOPS]
-        self._mark_placed(flow, view, holders, data, now)
+        self._mark_placed(flow, holders, data, now)
         if not path:
             return [self._send(node.usable(flow.record, view), data)]
         relay = Relay(
@@ -198,15 +199,14 @@
         carried = relay.record
         if node.usable(carried, view) is None:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        own = self._own(carried.key, now)
+        own = self._own(carried.key)
         best = prefer(carried, own and own.record)
         actions = []
         if best is not carried and _differ(best, carried):
-            actions.append(SendPeer(relay.home, RecordBatch((best,))))
+            actions = self._tell_holders(relay.home, best)
         if relay.copies > 0 or own is not None:
             flow = self._hold(best, now)
-            holders = node.members.ring.holders(flow.bucket)
-            self._mark_placed(flow, view, holders, relay.data, now)
+            self._mark_placed(flow, flow.holders, relay.data, now)
         found = best is not carried and not best.tentative
         if found or not relay.path:
             target = node.usable(best, view)
@@ -215,28 +215,36 @@
         onward = replace(relay, path=relay.path[1:], record=best, copies=copies)
         return [*actions, SendPeer(relay.path[0], onward)]
 
+    def _tell_holders(self, home, record):
+        """Send a better record to those that may hold a worse one by now."""
+        node = self._node
+        holders = node.members.ring.holders(bucket_of(record.key))
+        names = {home, *(holder.name for holder in holders)} - {node.name}
+        batch = RecordBatch((record,))
+        return [SendPeer(name, batch) for name in sorted(names)]
+
     def _from_target(self, data, now):
         """Pass an answer to the flow's primary, which has to see it."""
         node = self._node
         bucket = bucket_of(reverse_key(data))
         holders = node.members.ring.holders(bucket)
-        if not holders or holders[0] == node.name:
+        if not holders or holders[0].name == node.name:
             return self._answer(data, now)
         relay = Relay(data, Direction.TO_CALLER, "", (), (node.name,))
-        return [SendPeer(holders[0], relay)]
+        return [SendPeer(holders[0].name, relay)]
 
     def _answer(self, data, now):
         flow = self._node.flows.get(reverse_key(data))
         if flow is not None:
             flow.last_seen = now
-            flow.unanswered_since = 0.0
+            flow.unanswered = 0
             flow.answered = True
             self._answered[flow.record.target] = now
             if data[9] == PROTOCOL_TCP and tcp_flags(data) & (TCP_FIN | TCP_RST):
                 flow.closing = True
         return [SendCaller(data)]
 
-    def _own(self, key, now):
+    def _own(self, key):
         """Return our flow of this key if its record still holds, else None."""
         node = self._node
         flow = node.flows.get(key)
@@ -245,45 +253,48 @@
         view = node.store.by_address.get(key[4:8] + key[10:13])
         if view is None or node.usable(flow.record, view) is None:
             return None
-        self._confirm(flow, now)
         return flow
 
     def _hold(self, record, now):
         node = self._node
         bucket = bucket_of(record.key)
         flow = node.flows.put(record, bucket, now)
-        if record.tentative and not flow.tentative_until:
-            flow.tentative_until = now + TENTATIVE_S
         flow.holders = node.members.ring.holders(bucket)
+        flow.placed_at = STALE_S
         return flow
 
     def _current(self, flow, view, holders, now):
         """Return the flow's target if the packet can go straight to it."""
-        if flow.holders != holders or now >= flow.fresh_until:
+        refresh_s = view.profile.idle_timeout_s / REFRESHES_PER_IDLE_TIMEOUT
+        if flow.holders != holders or now - flow.placed_at > refresh_s:
             return None
         if flow.last_seen < self._node.resumed_at:
             return None
         if flow.record.tentative:
-            self._confirm(flow, now)
-            if flow.record.tentative:
-                return None
+            return None
         return self._node.usable(flow.record, view)
 
     def _confirm(self, flow, now):
-        """End a proposal that no better record has met in time."""
+        """End a proposal that no better record has met in time.
+
+        The record is placed once more then, since the standbys hold it as a
+        proposal still.
+        """
         if flow.record.tentative and now >= flow.tentative_until:
             flow.record = replace(flow.record, tentative=False)
-            flow.tentative_until = 0.0
+            flow.tentative_until = NEVER_S
+            flow.placed_at = STALE_S
 
     def _unconfirmed(self, flow, now):
+        if flow.record.tentative and flow.tentative_until == NEVER_S:
+            flow.tentative_until = now + TENTATIVE_S
         self._confirm(flow, now)
-        doubtful = flow.fresh_until and flow.last_seen < self._node.resumed_at
+        doubtful = flow.last_seen < self._node.resumed_at
         return flow.record.tentative or doubtful
 
-    def _mark_placed(self, flow, view, holders, data, now):
+    def _mark_placed(self, flow, holders, data, now):
         flow.holders = holders
-        idle_s = view.profile.idle_timeout_s
-        flow.fresh_until = now + idle_s / REFRESHES_PER_IDLE_TIMEOUT
+        flow.placed_at = STALE_S if flow.record.tentative else now
         flow.last_seen = now
         if tcp_flags(data) & (TCP_FIN | TCP_RST):
             flow.closing = True
@@ -311,13 +322,22 @@
         return self._open(view, flow.record.key, bucket, data, now, epoch)
 
     def _note_unanswered(self, flow, now):
-        if not flow.unanswered_since:
+        """Count a packet that is not answered yet.
+
+        What was lost before the ring last changed says nothing of the target:
+        an entry that failed may have swallowed it.
+        """
+        if not flow.unanswered or flow.unanswered_since < self._node.ring_changed_at:
+            flow.unanswered = 0
             flow.unanswered_since = now
+        flow.unanswered += 1
 
     def _is_silent(self, flow: Flow, view: ServiceView, now: float) -> bool:
         """Tell whether the target lost the flow, while it answers others."""
         since = flow.unanswered_since
-        if not since or now - since <= view.profile.silence_timeout_s:
+        if flow.unanswered < SILENT_PACKETS or since < self._node.ring_changed_at:
+            return False
+        if now - since <= view.profile.silence_timeout_s:
             return False
         if flow.record.key[12] != PROTOCOL_TCP and not flow.answered:
             return False
@@ -333,7 +353,7 @@
             key, lost = flow.record.key, target.name
             return self._open(view, key, flow.bucket, data, now, epoch, avoid=lost)
         flow.closing = True
-        flow.unanswered_since = 0.0
+        flow.unanswered = 0
         actions = []
         to_caller, to_target = reset_caller(data), reset_target(data)
         if to_caller is not None:
--- a/kumquatshift/engine/sweep.py
+++ b/kumquatshift/engine/sweep.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 
 from .actions import Action, SendPeer
+from .flows import STALE_S
 from .messages import EntryState, RecordBatch
 from .node import RECORD_WIRE_BYTES, Node
 from .router import COPIED_IDLE_FACTOR
@@ -83,47 +84,61 @@
             return
         if self._scarce_only and self._copies_left(flow) > 1:
             return
-        if self._sends_copy(flow.holders, holders):
+        if self._sends_copy(flow.holders):
             self._copy(flow, holders, copies)
+        elif not self._node.settled(now):
+            # The sender may fail before it gets to this flow.
+            return
         flow.holders = holders
-        flow.fresh_until = 0.0
+        flow.placed_at = STALE_S
 
     def _copies_left(self, flow):
-        there = self._node.members.ring.names
-        return sum(name in there for name in flow.holders)
+        present = self._node.members.ring.present
+        return sum(holder in present for holder in flow.holders)
 
-    def _sends_copy(self, before, holders):
+    def _sends_copy(self, before):
         """Tell whether we are the first of the earlier holders still there."""
         node = self._node
-        there = node.members.ring.names
-        for name in before:
-            if name == node.name:
+        for holder in before:
+            if holder.name == node.name:
                 return True
-            if name in there:
+            if holder in node.members.ring.present:
                 return False
-        return node.name not in before
+        return True
 
     def _copy(self, flow, holders, copies):
-        for name in holders:
-            if name == self._node.name or name in flow.holders:
+        known = () if self._may_be_lost(flow) else flow.holders
+        for holder in holders:
+            if holder.name == self._node.name or holder in known:
                 continue
-            copies[name, flow.record.service].append(flow.record)
+            copies[holder.name, flow.record.service].append(flow.record)
             self._budget_bytes -= RECORD_WIRE_BYTES
 
+    def _may_be_lost(self, flow):
+        """Tell whether the record was last passed along an entry that was gone.
+
+        A failure is noticed late; a record that travelled in the meantime may
+        have got lost on its way to the entries behind the failed one.
+        """
+        timers = self._node.timers
+        notice_s = timers.suspect_s + timers.heartbeat_s
+        return flow.placed_at > self._node.ring_changed_at - notice_s
+
     def _expired(self, flow, now):
         node = self._node
         idle_s = now - flow.last_seen
         if flow.closing:
             return idle_s > CLOSE_LINGER_S
         holders = node.members.ring.holders(flow.bucket)
-        if node.name not in holders and idle_s > SPARE_S and flow.holders == holders:
+        names = [holder.name for holder in holders]
+        if node.name not in names and idle_s > SPARE_S and flow.holders == holders:
             return True
         key = flow.record.key
         view = node.store.by_address.get(key[4:8] + key[10:13])
         if view is None or view.created != flow.record.service:
             return True
         limit_s = view.profile.idle_timeout_s
-        if not holders or holders[0] != node.name:
+        if names[:1] != [node.name]:
             limit_s *= COPIED_IDLE_FACTOR
         return idle_s > limit_s
 
--- /dev/null
+++ b/kumquatshift/programs/entry.py
@@ -0,0 +1,110 @@
+"""`kumquat-entry`: takes packets from the fabric, decides, forwards."""
+
+import asyncio
+import random
+import sys
+
+import fire
+import grpc
+from returns.pipeline import is_successful
+from twisted.internet.defer import Deferred
+
+from .. import logs, tls
+from ..adapters.admin import listen_admin
+from ..adapters.control import ControlClient, serve
+from ..adapters.driver import EntryDriver, new_incarnation
+from ..adapters.platform import PlatformClient
+from ..context import Environment
+from ..engine.entry import EntryConfig, EntryEngine
+from ..engine.members import MemberTimers, Vm
+from ..engine.node import Limits
+from ..keys import Sealer
+from ..settings import EntrySettings
+from ..settings.check import check, tell_problems
+from ..status import ExitStatus
+from .loop import install_reactor
+
+COPY_SHARE = 0.6
+
+
+class Commands:
+    """One entry of the load balancer."""
+
+    def __init__(self, env: Environment):
+        self._env = env
+
+    def check(self, settings):
+        """Check a settings file and tell every mistake; start nothing."""
+        return check(EntrySettings, settings, self._env)
+
+    def start(self, settings):
+        """Run an entry until SIGTERM or SIGINT; its flows are handed over then."""
+        loaded = EntrySettings.load(settings)
+        if not is_successful(loaded):
+            return tell_problems(settings, loaded, self._env)
+        cfg = loaded.unwrap()
+        secrets = (cfg.keys.current, cfg.keys.previous)
+        logs.setup(cfg.log.level, cfg.log.format, self._env.stderr, secrets)
+        return run_entry(cfg)
+
+
+def run_entry(cfg: EntrySettings) -> ExitStatus:
+    """Run one entry until it is told to leave and has left."""
+    reactor = install_reactor()
+    engine = EntryEngine.from_config(
+        engine_config(cfg), reactor, random.SystemRandom(), new_incarnation()
+    )
+    control = ControlClient(tls.channel_opener(cfg.tls))
+    driver = EntryDriver(cfg, engine, reactor, Sealer.from_config(cfg.keys), control)
+    if cfg.platform.url:
+        driver.use_platform(_platform(cfg, reactor))
+    listen_admin(reactor, cfg.entry.address, cfg.entry.admin_port, driver)
+    driver.start()
+    server = _serve_control(cfg, driver)
+    reactor.addSystemEventTrigger("before", "shutdown", driver.drain)
+    reactor.addSystemEventTrigger("during", "shutdown", _stop, control, server)
+    reactor.run()
+    return ExitStatus.SUCCESS
+
+
+def engine_config(cfg: EntrySettings) -> EntryConfig:
+    """Return what the engine needs of an entry's settings."""
+    me = Vm(cfg.entry.name, cfg.entry.domain, cfg.entry.address)
+    peers = [Vm(peer.name, peer.domain, peer.address) for peer in cfg.peers.members]
+    timers = MemberTimers(
+        cfg.timers.heartbeat_s, cfg.timers.suspect_s, cfg.timers.forget_s
+    )
+    copy_bytes_per_s = cfg.limits.control_bytes_per_s * COPY_SHARE
+    limits = Limits(copy_bytes_per_s, cfg.limits.max_flows)
+    return EntryConfig(me, tuple(peers), timers, limits)
+
+
+def _platform(cfg, reactor):
+    section = {"platform": cfg.platform.url, "ca": cfg.platform.ca}
+    return PlatformClient.from_config(section, reactor)
+
+
+def _serve_control(cfg, driver):
+    place = f"{cfg.entry.address}:{cfg.entry.control_port}"
+    call = serve(driver.servicer(), place, tls.server_credentials(cfg.tls))
+    return asyncio.ensure_future(call, loop=asyncio.get_event_loop())
+
+
+def _stop(control: ControlClient, server: "asyncio.Future[grpc.aio.Server]"):
+    async def stop():
+        await control.close()
+        await (await server).stop(grace=0.5)
+
+    return Deferred.fromFuture(asyncio.ensure_future(stop()))
+
+
+def main(args: list[str], env: Environment) -> ExitStatus:
+    """Run the program with the arguments of a command line."""
+    return fire.Fire(
+        Commands(env), command=args, name="kumquat-entry", serialize=lambda _: None
+    )
+
+
+def run() -> None:
+    """Run with the arguments of the process; the console script's entry."""
+    sys.exit(main(sys.argv[1:], Environment()))
