--- /dev/null
+++ b/kumquatshift/settings/ctl.py
@@ -0,0 +1,44 @@
+"""Settings of `kumquat-ctl`."""
+
+from dataclasses import dataclass
+
+from .common import LogSection, PeersSection, PlatformSection, TlsSection
+from .declare import key, section
+from .read import ProgramSettings
+from .values import Number, port
+
+
+@dataclass(frozen=True)
+class CtlSection:
+    """How the command line reaches entries, and how long it waits."""
+
+    admin_port: int = key(
+        port(), "Admin port of every entry.", default="7300", unit="TCP"
+    )
+    timeout_s: float = key(
+        Number(0.1, 300),
+        "Longest time for one call to the platform or an entry.",
+        default="5",
+        unit="seconds",
+    )
+    wait_s: float = key(
+        Number(0.1, 3600),
+        "Longest time that --wait waits for a change to be in force.",
+        default="30",
+        unit="seconds",
+    )
+
+
+@dataclass(frozen=True)
+class CtlSettings(ProgramSettings):
+    """All settings of the command line."""
+
+    ctl: CtlSection = section(CtlSection, "The command line itself.")
+    platform: PlatformSection = section(PlatformSection, "The platform's object API.")
+    peers: PeersSection = section(
+        PeersSection, "Entries to ask while the platform's list is out of reach."
+    )
+    tls: TlsSection = section(
+        TlsSection, "Mutual TLS between processes: all three or none."
+    )
+    log: LogSection = section(LogSection, "Logging.")
--- /dev/null
+++ b/kumquatshift/settings/read.py
@@ -0,0 +1,211 @@
+"""Reading a settings file against its declarations."""
+
+from collections.abc import Callable, Mapping
+from configparser import (
+    ConfigParser,
+    DuplicateOptionError,
+    DuplicateSectionError,
+    Error,
+    MissingSectionHeaderError,
+    ParsingError,
+)
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, ClassVar, Protocol, Self, runtime_checkable
+
+from returns.result import Failure, Result, Success
+
+from .declare import FreeKeys, Key, Section, sections_of
+from .problems import HIDDEN, Problem, unknown_key, unknown_section
+
+NO_DEFAULT_SECTION = "\0"
+MAX_SHOWN_CHARS = 60
+
+Problems = tuple[Problem, ...]
+
+
+@runtime_checkable
+class SelfChecking(Protocol):
+    """A section whose keys have to fit each other."""
+
+    def wrong_together(self) -> list[Problem]:
+        """Return the mistakes that show only from several keys together."""
+        ...
+
+
+@dataclass(frozen=True)
+class CrossCheck:
+    """Looks for mistakes that show only from several sections together.
+
+    ``find`` gets the sections named, once each of them could be read.
+    """
+
+    sections: tuple[str, ...]
+    find: Callable[..., list[Problem]]
+
+
+class ProgramSettings:
+    """Base of each program's settings."""
+
+    cross_checks: ClassVar[tuple[CrossCheck, ...]] = ()
+
+    @classmethod
+    def load(cls, path: str | Path) -> Result[Self, Problems]:
+        """Read the file at ``path``; the failure lists every mistake in it."""
+        try:
+            text = Path(path).read_text(encoding="utf-8-sig")
+        except OSError as exc:
+            return Failure((_file_problem(exc.strerror or str(exc), "a file to read"),))
+        except UnicodeDecodeError as exc:
+            return Failure((_file_problem(str(exc), "text in UTF-8"),))
+        return cls.from_text(text)
+
+    @classmethod
+    def from_text(cls, text: str) -> Result[Self, Problems]:
+        """Read settings from the text of a file."""
+        cfg, problems = parse_ini(text)
+        result = cls.from_config(cfg)
+        if not problems:
+            return result
+        return Failure(problems + result.swap().value_or(()))
+
+    @classmethod
+    def from_config(cls, cfg: ConfigParser) -> Result[Self, Problems]:
+        """Check a parsed file and build the settings from it."""
+        sections = sections_of(cls)
+        known = [section.name for section in sections]
+        problems = [
+            unknown_section(name, known) for name in cfg.sections() if name not in known
+        ]
+        values: dict[str, Any] = {}
+        for section in sections:
+            raw = cfg[section.name] if cfg.has_section(section.name) else {}
+            values[section.name] = _read_section(section, raw, problems)
+        for check in cls.cross_checks:
+            parts = [values[name] for name in check.sections]
+            if None not in parts:
+                problems += check.find(*parts)
+        return Failure(tuple(problems)) if problems else Success(cls(**values))
+
+
+def parse_ini(text: str) -> tuple[ConfigParser, Problems]:
+    """Split INI text into sections; on mistakes return what could be read too."""
+    cfg = _parser(strict=True)
+    try:
+        cfg.read_string(text)
+    except (DuplicateSectionError, DuplicateOptionError) as exc:
+        cfg, others = _parse_loosely(text)
+        return cfg, (_duplicate(exc), *others)
+    except Error as exc:
+        return cfg, _syntax_problems(exc)
+    return cfg, ()
+
+
+def _parse_loosely(text: str) -> tuple[ConfigParser, Problems]:
+    cfg = _parser(strict=False)
+    try:
+        cfg.read_string(text)
+    except Error as exc:
+        return cfg, _syntax_problems(exc)
+    return cfg, ()
+
+
+def _parser(strict: bool) -> ConfigParser:
+    cfg = ConfigParser(
+        interpolation=None, strict=strict, default_section=NO_DEFAULT_SECTION
+    )
+    cfg.optionxform = str
+    return cfg
+
+
+def _duplicate(exc: DuplicateSectionError | DuplicateOptionError) -> Problem:
+    key = getattr(exc, "option", "")
+    what = "key" if key else "section"
+    found = f"the {what} a second time in line {exc.lineno}"
+    return Problem(exc.section, key, found, f"each {what} once")
+
+
+def _syntax_problems(exc: Error) -> Problems:
+    allowed = "[section], key = value, or a comment that starts with #"
+    if isinstance(exc, MissingSectionHeaderError):
+        return (_file_problem(f"line {exc.lineno} before any [section]", allowed),)
+    if isinstance(exc, ParsingError):
+        lines = [lineno for lineno, _ in exc.errors]
+        return tuple(
+            _file_problem(f"line {n} of no known form", allowed) for n in lines
+        )
+    return (_file_problem(str(exc), allowed),)
+
+
+def _file_problem(found: str, allowed: str) -> Problem:
+    return Problem("", "", found, allowed)
+
+
+def _read_section(
+    section: Section, raw: Mapping[str, str], problems: list[Problem]
+) -> Any:
+    """Return the section's data class, or None after adding to ``problems``."""
+    before = len(problems)
+    known = {key.name: key for key in section.keys}
+    free = section.free
+    values = {
+        name: _read_key(section, key, raw.get(name), problems)
+        for name, key in known.items()
+    }
+    others = {name: text for name, text in raw.items() if name not in known}
+    if free:
+        values[free.name] = _read_free(section, free, others, problems)
+    else:
+        problems += [unknown_key(section.name, name, known) for name in others]
+    if len(problems) > before:
+        return None
+    form = section.form(**values)
+    if isinstance(form, SelfChecking):
+        problems += form.wrong_together()
+    return form
+
+
+def _read_key(
+    section: Section, key: Key, text: str | None, problems: list[Problem]
+) -> Any:
+    if not text and key.default is not None:
+        text = key.default
+        if not text:
+            return _empty(key)
+    if not text:
+        problems.append(Problem(section.name, key.name, "nothing", _allowed(key)))
+        return None
+    try:
+        return key.type.parse(text)
+    except ValueError:
+        found = HIDDEN if key.hides(text) else _shown(text)
+        problems.append(Problem(section.name, key.name, found, _allowed(key)))
+        return None
+
+
+def _empty(key: Key) -> Any:
+    return None if key.secret else ""
+
+
+def _read_free(
+    section: Section, free: FreeKeys, raw: Mapping[str, str], problems: list[Problem]
+) -> tuple[Any, ...]:
+    values = []
+    for name, text in raw.items():
+        try:
+            values.append(free.type.parse_named(name, text))
+        except ValueError:
+            found = _shown(text)
+            problems.append(Problem(section.name, name, found, free.type.allowed))
+    return tuple(values)
+
+
+def _allowed(key: Key) -> str:
+    unit = f" ({key.unit})" if key.unit else ""
+    return key.type.allowed + unit
+
+
+def _shown(text: str) -> str:
+    if len(text) > MAX_SHOWN_CHARS:
+        text = text[:MAX_SHOWN_CHARS] + "..."
+    return repr(text)
