--- /dev/null
+++ b/kumquatshift/metrics.py
@@ -0,0 +1,263 @@
+"""Counters by reason, gauges and latencies of one process.
+
+Labels of counters are members of closed enums, so the page is bounded; a
+latency is kept for each profile. The text page has the exposition format that
+Prometheus reads (version 0.0.4)::
+
+    metrics = Metrics(reactor)
+    drops = metrics.counter("packets_dropped", "Packets dropped.", DropReason)
+    drops.add(DropReason.MALFORMED)
+    metrics.gauge("flows", "Flows held.", lambda: len(table))
+    metrics.record_latency("urgent-alert", seconds)
+    print(metrics.page())
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Generic, TypeVar
+
+from hdrh.histogram import HdrHistogram
+
+from .engine.ports import Clock
+
+PREFIX = "kumquat"
+MICROSECONDS = 1_000_000
+MIN_LATENCY_US = 1
+MAX_LATENCY_US = 3600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+WINDOW_S = 60.0
+MAX_PROFILES = 1000
+OTHER_PROFILES = "(others)"
+
+Label = TypeVar("Label", bound=StrEnum)
+
+
+class Counter(Generic[Label]):
+    """Counts that only grow, one for each member of an enum."""
+
+    def __init__(self, name: str, help: str, labels: type[Label]):
+        self.name = name
+        self.help = help
+        self.values: dict[Label, int] = dict.fromkeys(labels, 0)
+
+    def add(self, label: Label, amount: int = 1) -> None:
+        """Add ``amount`` to the count of ``label``; `KeyError` for a stranger."""
+        self.values[label] += amount
+
+
+@dataclass(frozen=True)
+class CounterValues:
+    """What one counter stood at."""
+
+    name: str
+    help: str
+    values: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True)
+class GaugeValue:
+    """What one gauge stood at."""
+
+    name: str
+    help: str
+    value: float
+
+
+@dataclass(frozen=True)
+class LatencySummary:
+    """Latencies of one profile, in seconds.
+
+    ``percentiles`` holds pairs such as ``(99.0, 0.012)``. The recent ones are
+    those of the last whole window of `WINDOW_S` and of the one that runs.
+    """
+
+    profile: str
+    count: int
+    max_s: float
+    percentiles: tuple[tuple[float, float], ...]
+    recent_count: int
+    recent_percentiles: tuple[tuple[float, float], ...]
+
+
+@dataclass(frozen=True)
+class MetricsSnapshot:
+    """All metrics of a process at one moment."""
+
+    counters: tuple[CounterValues, ...]
+    gauges: tuple[GaugeValue, ...]
+    latencies: tuple[LatencySummary, ...]
+
+
+class LatencyRecorder:
+    """Latencies of one profile: since the start, and of late."""
+
+    def __init__(self, now_s: float):
+        self._total = _histogram()
+        self._running = _histogram()
+        self._last = _histogram()
+        self._window_started_s = now_s
+
+    def record(self, latency_s: float, now_s: float) -> None:
+        """Take one latency; beyond the histogram's range it counts as its end."""
+        self._roll(now_s)
+        value_us = int(latency_s * MICROSECONDS)
+        value_us = min(max(value_us, MIN_LATENCY_US), MAX_LATENCY_US)
+        self._total.record_value(value_us)
+        self._running.record_value(value_us)
+
+    def summary(self, profile: str, now_s: float) -> LatencySummary:
+        """Return the latencies as they stand."""
+        self._roll(now_s)
+        recent = _histogram()
+        recent.add(self._last)
+        recent.add(self._running)
+        return LatencySummary(
+            profile=profile,
+            count=self._total.get_total_count(),
+            max_s=self._total.get_max_value() / MICROSECONDS,
+            percentiles=_percentiles(self._total),
+            recent_count=recent.get_total_count(),
+            recent_percentiles=_percentiles(recent),
+        )
+
+    def _roll(self, now_s: float) -> None:
+        passed_s = now_s - self._window_started_s
+        if passed_s < WINDOW_S:
+            return
+        self._last, self._running = self._running, self._last
+        self._running.reset()
+        if passed_s >= 2 * WINDOW_S:
+            self._last.reset()
+        self._window_started_s = now_s
+
+
+class Metrics:
+    """The metrics of one process; time comes from ``clock``."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, tuple[str, Callable[[], float]]] = {}
+        self._latencies: dict[str, LatencyRecorder] = {}
+
+    def counter(self, name: str, help: str, labels: type[Label]) -> Counter[Label]:
+        """Add a counter; its name may be taken once."""
+        self._claim(name)
+        counter = Counter(name, help, labels)
+        self._counters[name] = counter
+        return counter
+
+    def gauge(self, name: str, help: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read whenever the metrics are."""
+        self._claim(name)
+        self._gauges[name] = (help, read)
+
+    def record_latency(self, profile: str, latency_s: float) -> None:
+        """Take the latency of one request or opening under its profile.
+
+        Beyond `MAX_PROFILES` the rest share the name `OTHER_PROFILES`.
+        """
+        now_s = self._clock.seconds()
+        recorder = self._latencies.get(profile)
+        if recorder is None:
+            if len(self._latencies) >= MAX_PROFILES:
+                profile = OTHER_PROFILES
+            recorder = self._latencies.setdefault(profile, LatencyRecorder(now_s))
+        recorder.record(latency_s, now_s)
+
+    def forget_profile(self, profile: str) -> None:
+        """Drop the latencies of a profile that is no more."""
+        self._latencies.pop(profile, None)
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return all metrics as they stand."""
+        now_s = self._clock.seconds()
+        return MetricsSnapshot(
+            counters=tuple(_counter_values(each) for each in self._counters.values()),
+            gauges=tuple(
+                GaugeValue(name, help, read())
+                for name, (help, read) in self._gauges.items()
+            ),
+            latencies=tuple(
+                recorder.summary(profile, now_s)
+                for profile, recorder in sorted(self._latencies.items())
+            ),
+        )
+
+    def page(self) -> str:
+        """Return all metrics as a plain-text page."""
+        return page_of(self.snapshot())
+
+    def _claim(self, name: str) -> None:
+        if name in self._counters or name in self._gauges:
+            raise ValueError(f"metric {name} exists already")
+
+
+def page_of(snapshot: MetricsSnapshot) -> str:
+    """Write a snapshot in Prometheus' text format."""
+    lines: list[str] = []
+    for counter in snapshot.counters:
+        name = f"{PREFIX}_{counter.name}_total"
+        lines += _head(name, counter.help, "counter")
+        lines += [f"{name}{_labels(reason=k)} {v}" for k, v in counter.values]
+    for gauge in snapshot.gauges:
+        name = f"{PREFIX}_{gauge.name}"
+        lines += [*_head(name, gauge.help, "gauge"), f"{name} {gauge.value:g}"]
+    lines += _latency_lines(snapshot.latencies)
+    return "\n".join(lines) + "\n"
+
+
+def _latency_lines(latencies: Iterable[LatencySummary]) -> list[str]:
+    total, recent = f"{PREFIX}_latency_seconds", f"{PREFIX}_recent_latency_seconds"
+    total_lines = _head(total, "Latency of each profile since the start.", "summary")
+    recent_lines = _head(recent, "Latency of each profile of late.", "summary")
+    for each in latencies:
+        total_lines += _quantiles(total, each.profile, each.percentiles)
+        total_lines.append(f"{total}_count{_labels(profile=each.profile)} {each.count}")
+        recent_lines += _quantiles(recent, each.profile, each.recent_percentiles)
+        recent_lines.append(
+            f"{recent}_count{_labels(profile=each.profile)} {each.recent_count}"
+        )
+    return total_lines + recent_lines
+
+
+def _quantiles(
+    name: str, profile: str, percentiles: Iterable[tuple[float, float]]
+) -> list[str]:
+    return [
+        f"{name}{_labels(profile=profile, quantile=f'{percent / 100:g}')} {value_s:g}"
+        for percent, value_s in percentiles
+    ]
+
+
+def _head(name: str, help: str, kind: str) -> list[str]:
+    return [f"# HELP {name} {help}", f"# TYPE {name} {kind}"]
+
+
+def _labels(**labels: str) -> str:
+    pairs = (f'{name}="{_escaped(value)}"' for name, value in labels.items())
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escaped(value: str) -> str:
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+def _counter_values(counter: Counter) -> CounterValues:
+    values = tuple((str(label), count) for label, count in counter.values.items())
+    return CounterValues(counter.name, counter.help, values)
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+def _percentiles(histogram: HdrHistogram) -> tuple[tuple[float, float], ...]:
+    if not histogram.get_total_count():
+        return ()
+    return tuple(
+        (percent, histogram.get_value_at_percentile(percent) / MICROSECONDS)
+        for percent in PERCENTILES
+    )
