--- a/kumquatshift/adapters/admin.py
+++ b/kumquatshift/adapters/admin.py
@@ -1,6 +1,6 @@
 """Admin port of every process: readiness, dump, metrics and versions.
 
-Plain HTTP, read only. A page is made on the loop's one thread, so a dump is
+HTTP, read only. A page is made on the loop's one thread, so a dump is
 written piece by piece and packets go on between the pieces.
 """
 
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.interfaces import IListeningPort, IPullProducer, IReactorTCP
+from twisted.internet.ssl import CertificateOptions
 from twisted.web.http import INTERNAL_SERVER_ERROR, SERVICE_UNAVAILABLE, Request
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
@@ -44,12 +45,22 @@
 
 
 def listen_admin(
-    reactor: IReactorTCP, address: str, port: int, source: AdminSource
+    reactor: IReactorTCP,
+    address: str,
+    port: int,
+    source: AdminSource,
+    context: CertificateOptions | None = None,
 ) -> IListeningPort:
-    """Open the admin port; raises `CannotListenError` if it is taken."""
+    """Open the admin port; raises `CannotListenError` if it is taken.
+
+    With ``context``, of `tls.admin_context`, it takes HTTPS from the holders of
+    a certificate only.
+    """
     site = Site(admin_root(source), timeout=IDLE_TIMEOUT_S)
     site.displayTracebacks = False
-    return reactor.listenTCP(port, site, interface=address)
+    if context is None:
+        return reactor.listenTCP(port, site, interface=address)
+    return reactor.listenSSL(port, site, context, interface=address)
 
 
 def admin_root(source: AdminSource) -> Resource:
--- a/kumquatshift/settings/bench.py
+++ b/kumquatshift/settings/bench.py
@@ -1,9 +1,11 @@
 """Settings of `kumquat-bench`."""
 
 from dataclasses import dataclass
+from datetime import datetime
 
 from .common import LogSection, PlatformSection
 from .declare import free_keys, key, section
+from .problems import Problem
 from .read import ProgramSettings
 from .values import Listener, ListenerLine, Number, Whole
 
@@ -58,3 +60,7 @@
     )
     platform: PlatformSection = section(PlatformSection, "The platform's object API.")
     log: LogSection = section(LogSection, "Logging.")
+
+    def wrong_files(self, now: datetime) -> list[Problem]:
+        """Return what is wrong with the files that the settings name."""
+        return self.platform.wrong_files(now)
--- a/kumquatshift/settings/common.py
+++ b/kumquatshift/settings/common.py
@@ -1,8 +1,10 @@
 """Sections that several programs share."""
 
 from dataclasses import dataclass
+from datetime import datetime
 from enum import StrEnum
 
+from ..certificates import ca_faults, certificate_faults
 from .declare import free_keys, key
 from .problems import Problem
 from .values import (
@@ -70,6 +72,11 @@
             return [Problem("platform", "ca", repr(self.ca), allowed)]
         return []
 
+    def wrong_files(self, now: datetime) -> list[Problem]:
+        """Return what is wrong with the file of the authority."""
+        faults = ca_faults(self.ca, now) if self.ca else []
+        return [Problem("platform", "ca", each.found, each.allowed) for each in faults]
+
 
 @dataclass(frozen=True)
 class PeersSection:
@@ -150,3 +157,10 @@
             for name, value in given.items()
             if not value
         ]
+
+    def wrong_files(self, now: datetime, address: str = "") -> list[Problem]:
+        """Return what is wrong with the files; ``address`` must be named in them."""
+        if not self.enabled:
+            return []
+        faults = certificate_faults(self.ca, self.certificate, self.key, now, address)
+        return [Problem("tls", each.file, each.found, each.allowed) for each in faults]
--- a/kumquatshift/settings/ctl.py
+++ b/kumquatshift/settings/ctl.py
@@ -1,9 +1,11 @@
 """Settings of `kumquat-ctl`."""
 
 from dataclasses import dataclass
+from datetime import datetime
 
 from .common import LogSection, PeersSection, PlatformSection, TlsSection
 from .declare import key, section
+from .problems import Problem
 from .read import ProgramSettings
 from .values import Number, port
 
@@ -42,3 +44,7 @@
         TlsSection, "Mutual TLS between processes: all three or none."
     )
     log: LogSection = section(LogSection, "Logging.")
+
+    def wrong_files(self, now: datetime) -> list[Problem]:
+        """Return what is wrong with the files that the settings name."""
+        return self.platform.wrong_files(now) + self.tls.wrong_files(now)
--- a/kumquatshift/settings/entry.py
+++ b/kumquatshift/settings/entry.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from dataclasses import dataclass
+from datetime import datetime
 
 from .common import KeysSection, LogSection, PeersSection, PlatformSection, TlsSection
 from .declare import key, section
@@ -173,6 +174,12 @@
     timers: TimersSection = section(TimersSection, "Membership and shutdown.")
     log: LogSection = section(LogSection, "Logging.")
 
+    def wrong_files(self, now: datetime) -> list[Problem]:
+        """Return what is wrong with the files that the settings name."""
+        return self.platform.wrong_files(now) + self.tls.wrong_files(
+            now, self.entry.address
+        )
+
     cross_checks = (
         CrossCheck(("entry", "peers"), _contradicted_by_peers),
         CrossCheck(("entry", "keys", "tls"), _unprotected),
--- a/kumquatshift/settings/read.py
+++ b/kumquatshift/settings/read.py
@@ -10,6 +10,7 @@
     ParsingError,
 )
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, ClassVar, Protocol, Self, runtime_checkable
 
@@ -50,15 +51,26 @@
     cross_checks: ClassVar[tuple[CrossCheck, ...]] = ()
 
     @classmethod
-    def load(cls, path: str | Path) -> Result[Self, Problems]:
-        """Read the file at ``path``; the failure lists every mistake in it."""
+    def load(
+        cls, path: str | Path, now: datetime | None = None
+    ) -> Result[Self, Problems]:
+        """Read the file at ``path``; the failure lists every mistake in it.
+
+        The files that it names are checked too, as of ``now``, which is the
+        present if it is not given.
+        """
         try:
             text = Path(path).read_text(encoding="utf-8-sig")
         except OSError as exc:
             return Failure((_file_problem(exc.strerror or str(exc), "a file to read"),))
         except UnicodeDecodeError as exc:
             return Failure((_file_problem(str(exc), "text in UTF-8"),))
-        return cls.from_text(text)
+        moment = now or datetime.now(UTC)
+        return cls.from_text(text).bind(lambda cfg: _with_files(cfg, moment))
+
+    def wrong_files(self, now: datetime) -> list[Problem]:
+        """Return what is wrong with the files that the settings name."""
+        return []
 
     @classmethod
     def from_text(cls, text: str) -> Result[Self, Problems]:
@@ -88,6 +100,13 @@
         return Failure(tuple(problems)) if problems else Success(cls(**values))
 
 
+def _with_files(
+    cfg: ProgramSettings, now: datetime
+) -> Result[ProgramSettings, Problems]:
+    problems = cfg.wrong_files(now)
+    return Failure(tuple(problems)) if problems else Success(cfg)
+
+
 def parse_ini(text: str) -> tuple[ConfigParser, Problems]:
     """Split INI text into sections; on mistakes return what could be read too."""
     cfg = _parser(strict=True)
--- /dev/null
+++ b/tests/support/authority.py
@@ -0,0 +1,76 @@
+"""Makes certificate authorities and certificates for tests."""
+
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from ipaddress import IPv4Address
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.hashes import SHA256
+from cryptography.hazmat.primitives.serialization import (
+    Encoding,
+    NoEncryption,
+    PrivateFormat,
+)
+from cryptography.x509.oid import NameOID
+
+from kumquatshift.settings.common import TlsSection
+
+DAY = timedelta(days=1)
+
+
+@dataclass(frozen=True)
+class Issued:
+    """A certificate with its key."""
+
+    certificate: x509.Certificate
+    key: ec.EllipticCurvePrivateKey
+
+    def pem(self) -> bytes:
+        return self.certificate.public_bytes(Encoding.PEM)
+
+    def key_pem(self) -> bytes:
+        return self.key.private_bytes(Encoding.PEM, PrivateFormat.PKCS8, NoEncryption())
+
+
+def make_authority(name: str, parent: Issued | None = None) -> Issued:
+    return _issue(name, parent, 30 * DAY, is_authority=True)
+
+
+def make_leaf(authority: Issued, address: str, left: timedelta = 10 * DAY) -> Issued:
+    return _issue("leaf", authority, left, address=address)
+
+
+def write_files(
+    folder: str, authority: Issued, leaf: Issued, chain: tuple[Issued, ...] = ()
+) -> TlsSection:
+    """Write one process's three files; return its settings."""
+    paths = [str(Path(folder) / f"{id(leaf)}-{name}.pem") for name in ("a", "c", "k")]
+    Path(paths[0]).write_bytes(authority.pem())
+    Path(paths[1]).write_bytes(b"".join(each.pem() for each in (leaf, *chain)))
+    Path(paths[2]).write_bytes(leaf.key_pem())
+    return TlsSection(*paths)
+
+
+def _issue(name, issuer, left, address=None, is_authority=False) -> Issued:
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    end = datetime.now(UTC) + left
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer.certificate.subject if issuer else subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(min(end, datetime.now(UTC)) - DAY)
+        .not_valid_after(end)
+        .add_extension(x509.BasicConstraints(is_authority, None), critical=True)
+    )
+    if address:
+        names = [x509.IPAddress(IPv4Address(address))]
+        builder = builder.add_extension(
+            x509.SubjectAlternativeName(names), critical=False
+        )
+    signer = issuer.key if issuer else key
+    return Issued(builder.sign(signer, SHA256()), key)
