--- /dev/null
+++ b/kumquatshift/measures/registry.py
@@ -0,0 +1,65 @@
+"""Which modules measure what.
+
+A module of this package takes part by a tuple of functions called
+``MEASURES``; each function returns its figures::
+
+    def measure_wrong_answers() -> tuple[Measure, ...]:
+        return (exactly("wrong_answers", run().wrong, 0),)
+
+    MEASURES = (measure_wrong_answers,)
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from importlib import import_module
+
+from .measure import Measure
+
+MeasureFunction = Callable[[], Iterable[Measure]]
+
+
+@dataclass(frozen=True)
+class Group:
+    """One module, and the names of the figures that it owes."""
+
+    module: str
+    names: tuple[str, ...]
+
+
+GROUPS = (
+    Group(
+        "flows",
+        (
+            "broken_flows_single",
+            "broken_flows_pairs",
+            "broken_flows_naive_single",
+            "packets_after_domain_out",
+            "config_seconds_max",
+            "control_bytes_per_s",
+        ),
+    ),
+    Group(
+        "requests",
+        (
+            "duplicate_runs",
+            "false_not_run",
+            "wrong_answers",
+            "cold_overload",
+            "imbalance_max_over_mean",
+            "urgent_p99_ratio",
+            "goodput_overload_ratio",
+        ),
+    ),
+    Group("packets", ("pps_ratio_home", "pps_ratio_relay", "bytes_per_flow")),
+)
+
+
+def functions_of(group: Group) -> tuple[MeasureFunction, ...]:
+    """Return the functions of a group's module; none if there is no such module."""
+    name = f"{__package__}.{group.module}"
+    try:
+        return tuple(import_module(name).MEASURES)
+    except ModuleNotFoundError as exc:
+        if exc.name != name:
+            raise
+        return ()
