--- a/kumquatshift/metrics.py
+++ b/kumquatshift/metrics.py
@@ -5,9 +5,9 @@
 Prometheus reads (version 0.0.4)::
 
     metrics = Metrics(reactor)
-    drops = metrics.counter("packets_dropped", "Packets dropped.", DropReason)
+    drops = metrics.counter("kumquatshift_drops_total", "Drops.", DropReason)
     drops.add(DropReason.MALFORMED)
-    metrics.gauge("flows", "Flows held.", lambda: len(table))
+    metrics.gauge("kumquatshift_flows", "Flows held.", lambda: len(table))
     metrics.record_latency("urgent-alert", seconds)
     print(metrics.page())
 """
@@ -21,7 +21,8 @@
 
 from .engine.ports import Clock
 
-PREFIX = "kumquat"
+TOTAL_LATENCY = "kumquatshift_latency_seconds"
+RECENT_LATENCY = "kumquatshift_recent_latency_seconds"
 MICROSECONDS = 1_000_000
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 3600 * MICROSECONDS
@@ -199,18 +200,18 @@
     """Write a snapshot in Prometheus' text format."""
     lines: list[str] = []
     for counter in snapshot.counters:
-        name = f"{PREFIX}_{counter.name}_total"
+        name = counter.name
         lines += _head(name, counter.help, "counter")
         lines += [f"{name}{_labels(reason=k)} {v}" for k, v in counter.values]
     for gauge in snapshot.gauges:
-        name = f"{PREFIX}_{gauge.name}"
-        lines += [*_head(name, gauge.help, "gauge"), f"{name} {gauge.value:g}"]
+        lines += _head(gauge.name, gauge.help, "gauge")
+        lines.append(f"{gauge.name} {gauge.value:g}")
     lines += _latency_lines(snapshot.latencies)
     return "\n".join(lines) + "\n"
 
 
 def _latency_lines(latencies: Iterable[LatencySummary]) -> list[str]:
-    total, recent = f"{PREFIX}_latency_seconds", f"{PREFIX}_recent_latency_seconds"
+    total, recent = TOTAL_LATENCY, RECENT_LATENCY
     total_lines = _head(total, "Latency of each profile since the start.", "summary")
     recent_lines = _head(recent, "Latency of each profile of late.", "summary")
     for each in latencies:
--- a/kumquatshift/settings/ctl.py
+++ b/kumquatshift/settings/ctl.py
@@ -7,28 +7,16 @@
 from .declare import key, section
 from .problems import Problem
 from .read import ProgramSettings
-from .values import Number, port
+from .values import port
 
 
 @dataclass(frozen=True)
 class CtlSection:
-    """How the command line reaches entries, and how long it waits."""
+    """How the command line reaches entries."""
 
     admin_port: int = key(
         port(), "Admin port of every entry.", default="7300", unit="TCP"
     )
-    timeout_s: float = key(
-        Number(0.1, 300),
-        "Longest time for one call to the platform or an entry.",
-        default="5",
-        unit="seconds",
-    )
-    wait_s: float = key(
-        Number(0.1, 3600),
-        "Longest time that --wait waits for a change to be in force.",
-        default="30",
-        unit="seconds",
-    )
 
 
 @dataclass(frozen=True)
--- a/kumquatshift/settings/sample.py
+++ b/kumquatshift/settings/sample.py
@@ -55,7 +55,7 @@
 anything else. Each mistake is listed with its section and key, what was found
 and what is allowed; an unknown key or section is a mistake, told with the
 nearest known name. With any mistake nothing is started and the exit status
-is 3. `--check FILE` does the check alone: `kumquat-entry --check entry.ini`.
+is 3. `kumquat-entry check FILE` does the check alone; so do the other programs.
 
 A key without a default must be given. An address that is not a loopback
 address needs a digest key and certificates, see [KEYS.md](KEYS.md).
@@ -64,7 +64,7 @@
 
 def sample_text(sample: Sample) -> str:
     """Return the text of a sample file."""
-    head = f"Settings of {sample.command}. Keys left out have the value shown."
+    head = f"Settings of {sample.command}. A key that is left out has its default."
     parts = [_comment(head)]
     for section in sections_of(sample.program):
         parts += ["", f"[{section.name}]", _comment(section.help)]
@@ -100,8 +100,10 @@
 
 def _described(key: Key) -> str:
     unit = f" ({key.unit})" if key.unit else ""
-    must = " Must be given." if key.default is None else ""
-    return f"{key.help}{must} Allowed: {key.type.allowed}{unit}."
+    default = " Must be given."
+    if key.default is not None:
+        default = f" Default: {key.default or 'empty'}."
+    return f"{key.help} Allowed: {key.type.allowed}{unit}.{default}"
 
 
 def _assignment(key: Key) -> str:
--- a/kumquatshift/settings/values.py
+++ b/kumquatshift/settings/values.py
@@ -10,7 +10,7 @@
 
 from ..engine.objects import Protocol as ServiceProtocol
 
-NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 WHOLE_PATTERN = re.compile(r"[+-]?[0-9]+")
 NUMBER_PATTERN = re.compile(r"[+-]?([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]+)?")
 MIN_KEY_BYTES = 16
@@ -82,7 +82,9 @@
 class Name:
     """A name of a VM, a failure domain or an object."""
 
-    allowed: str = "1 to 63 of a-z, 0-9, '-' and '.', a letter or digit at both ends"
+    allowed: str = (
+        "1 to 63 letters, digits, '.', '_' and '-', the first a letter or digit"
+    )
 
     def parse(self, text: str) -> str:
         """Return the name."""
@@ -244,6 +246,13 @@
     TARGET = "target"
 
 
+class VmState(StrEnum):
+    """Whether the platform is about to take a VM away."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
 @dataclass(frozen=True)
 class Vm:
     """A VM as the platform lists it."""
@@ -252,19 +261,29 @@
     domain: str
     role: Role
     address: str
+    state: VmState = VmState.LIVE
 
 
 @dataclass(frozen=True)
 class VmLine:
-    """A VM as ``NAME = DOMAIN ROLE ADDRESS``."""
+    """A VM as ``NAME = DOMAIN ROLE ADDRESS [STATE]``."""
 
-    allowed: str = "DOMAIN ROLE ADDRESS, such as 'north-a entry 127.0.1.1'"
+    allowed: str = (
+        "DOMAIN ROLE ADDRESS [live|leaving], such as 'north-a entry 127.0.1.1'"
+    )
 
     def parse_named(self, name: str, text: str) -> Vm:
         """Return the VM called ``name``."""
-        domain, role, address = text.split()
-        name, domain = Name().parse(name), Name().parse(domain)
-        return Vm(name, domain, Role(role), Ipv4().parse(address))
+        domain, role, address, *state = text.split()
+        if len(state) > 1:
+            raise ValueError
+        return Vm(
+            Name().parse(name),
+            Name().parse(domain),
+            Role(role),
+            Ipv4().parse(address),
+            VmState(*state) if state else VmState.LIVE,
+        )
 
 
 @dataclass(frozen=True)
