--- /dev/null
+++ b/kumquatshift/codec.py
@@ -0,0 +1,284 @@
+"""Configuration objects to and from JSON values, checked field by field.
+
+Decoding never stops at the first mistake: the failure lists all of them, each
+with the object, the field, what was found and what is allowed::
+
+    >>> body_from_json(Kind.PROFILE, "tills", {"mode": "stream", "retries": 1})
+    <Failure: bad-input: profile/tills: retries: found 1; no such field; ...>
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from returns import result
+from returns.result import Result, Success
+
+from .engine.objects import (
+    Body,
+    Domain,
+    DomainState,
+    Kind,
+    Mode,
+    Priority,
+    Profile,
+    Protocol,
+    Service,
+    Target,
+    TargetState,
+    Versioned,
+)
+from .errors import ErrorKind, Failure
+from .fields import (
+    Address,
+    Check,
+    Choice,
+    Invalid,
+    Mistake,
+    Name,
+    Number,
+    Whole,
+    nearest,
+    shown,
+)
+
+MIN_TIMEOUT_S = 0.1
+MAX_TIMEOUT_S = 7 * 24 * 3600.0
+MAX_SLOTS = 1_000_000
+MAX_CONNECTIONS = 10_000_000
+MAX_VERSION = 2**63 - 1
+MAX_OPERATION_LENGTH = 200
+
+TIMEOUT = Number(MIN_TIMEOUT_S, MAX_TIMEOUT_S, "seconds")
+SHARE = Number(0.0, 1.0)
+PORT = Whole(1, 65535)
+VERSION = Whole(0, MAX_VERSION)
+
+TYPES: dict[Kind, type] = {
+    Kind.PROFILE: Profile,
+    Kind.SERVICE: Service,
+    Kind.TARGET: Target,
+    Kind.DOMAIN: Domain,
+}
+KINDS: dict[type, Kind] = {cls: kind for kind, cls in TYPES.items()}
+
+FIELDS: dict[Kind, dict[str, Check]] = {
+    Kind.PROFILE: {
+        "mode": Choice(Mode),
+        "priority": Choice(Priority),
+        "idle_timeout_s": TIMEOUT,
+        "silence_timeout_s": TIMEOUT,
+        "request_timeout_s": TIMEOUT,
+        "retry_share": SHARE,
+        "reserved_share": SHARE,
+    },
+    Kind.SERVICE: {
+        "address": Address(),
+        "port": PORT,
+        "protocol": Choice(Protocol),
+        "profile": Name(),
+    },
+    Kind.TARGET: {
+        "service": Name(),
+        "domain": Name(),
+        "host": Address(),
+        "port": PORT,
+        "slots": Whole(1, MAX_SLOTS),
+        "connections": Whole(1, MAX_CONNECTIONS),
+        "state": Choice(TargetState),
+    },
+    Kind.DOMAIN: {"state": Choice(DomainState)},
+}
+
+ENVELOPE = ("kind", "name", "version", "created", "operation", "deleted", "body")
+REMEDY = "mend the fields named and try again; nothing was changed"
+
+
+@dataclass(frozen=True)
+class Decoded:
+    """A body, or the mistakes that keep a value from being one."""
+
+    body: Body | None
+    mistakes: tuple[Mistake, ...]
+
+
+def kind_of(body: Body) -> Kind:
+    """Return the kind of a body."""
+    return KINDS[type(body)]
+
+
+def subject(kind: str, name: object) -> str:
+    """Return how messages name an object, for example ``service/tills``."""
+    return f"{kind}/{name}"
+
+
+def body_to_json(body: Body) -> dict[str, object]:
+    """Return the fields of a body but its name, which the object carries."""
+    fields = dataclasses.asdict(body)
+    del fields["name"]
+    return {key: _plain(value) for key, value in fields.items()}
+
+
+def decode_body(kind: Kind, name: object, value: object) -> Decoded:
+    """Read the fields of one object and collect every mistake."""
+    about = subject(kind, name)
+    mistakes = []
+    if not _fits(Name(), name):
+        mistakes.append(Mistake(about, "name", shown(name), Name.allowed))
+    if not isinstance(value, Mapping):
+        wanted = "allowed: an object with the fields " + ", ".join(FIELDS[kind])
+        mistakes.append(Mistake(about, "body", shown(value), wanted))
+        return Decoded(None, tuple(mistakes))
+    fields, wrong = _read_fields(kind, about, name, value)
+    mistakes += wrong
+    if mistakes:
+        return Decoded(None, tuple(mistakes))
+    body = TYPES[kind](name=name, **fields)
+    mistakes = _check_together(about, body)
+    return Decoded(None if mistakes else body, tuple(mistakes))
+
+
+def body_from_json(kind: Kind, name: str, value: object) -> Result[Body, Failure]:
+    """Return the body that a JSON value holds, or all that is wrong with it."""
+    decoded = decode_body(kind, name, value)
+    if decoded.body is None:
+        return result.Failure(bad_input(decoded.mistakes))
+    return Success(decoded.body)
+
+
+def fields_from_text(kind: Kind, texts: Mapping[str, str]) -> dict[str, object]:
+    """Turn the values of an INI section into those that JSON would have.
+
+    A text that is not what its field wants stays as it is, so that
+    `decode_body` can show it.
+    """
+    checks = FIELDS[kind]
+    return {
+        key: checks[key].from_text(text) if key in checks else text
+        for key, text in texts.items()
+    }
+
+
+def object_to_json(obj: Versioned) -> dict[str, object]:
+    """Return an object as the platform's API shows it."""
+    return {
+        "kind": obj.kind.value,
+        "name": obj.name,
+        "version": obj.version,
+        "created": obj.created,
+        "operation": obj.operation,
+        "deleted": obj.body is None,
+        "body": None if obj.body is None else body_to_json(obj.body),
+    }
+
+
+def object_from_json(value: object) -> Result[Versioned, Failure]:
+    """Return the object that a JSON value of the platform's API holds."""
+    if not isinstance(value, Mapping):
+        wanted = "allowed: an object with the fields " + ", ".join(ENVELOPE)
+        mistake = Mistake("object", "value", shown(value), wanted)
+        return result.Failure(bad_input((mistake,)))
+    mistakes = _check_envelope(value)
+    if mistakes:
+        return result.Failure(bad_input(mistakes))
+    kind = Kind(value["kind"])
+    body = None
+    if not value.get("deleted", False):
+        decoded = decode_body(kind, value["name"], value.get("body"))
+        if decoded.mistakes:
+            return result.Failure(bad_input(decoded.mistakes))
+        body = decoded.body
+    return Success(
+        Versioned(
+            kind=kind,
+            name=value["name"],
+            version=value["version"],
+            body=body,
+            created=value.get("created", 0),
+            operation=value.get("operation", ""),
+        )
+    )
+
+
+def bad_input(mistakes) -> Failure:
+    """Return one failure that lists every mistake, a line each."""
+    lines = "\n".join(str(mistake) for mistake in mistakes)
+    return Failure(ErrorKind.BAD_INPUT, lines, REMEDY)
+
+
+def _plain(value):
+    return value.value if isinstance(value, StrEnum) else value
+
+
+def _fits(check, value):
+    try:
+        check.read(value)
+    except Invalid:
+        return False
+    return True
+
+
+def _read_fields(kind, about, name, value):
+    checks = FIELDS[kind]
+    fields, mistakes = {}, []
+    for key, found in value.items():
+        if key == "name":
+            if found != name:
+                allowed = f"allowed: {name}, the name of the object, or nothing"
+                mistakes.append(Mistake(about, "name", shown(found), allowed))
+            continue
+        if key not in checks:
+            allowed = "no such field; " + nearest(str(key), checks)
+            mistakes.append(Mistake(about, str(key), shown(found), allowed))
+            continue
+        try:
+            fields[key] = checks[key].read(found)
+        except Invalid:
+            mistakes.append(Mistake(about, key, shown(found), checks[key].allowed))
+    for key in _required(kind):
+        if key not in value:
+            mistakes.append(Mistake(about, key, "nothing", checks[key].allowed))
+    return fields, mistakes
+
+
+def _required(kind):
+    return [
+        field.name
+        for field in dataclasses.fields(TYPES[kind])
+        if field.default is dataclasses.MISSING and field.name != "name"
+    ]
+
+
+def _check_together(about, body):
+    """Check fields of one object against each other."""
+    if not isinstance(body, Profile):
+        return []
+    mistakes = []
+    for key in ("request_timeout_s", "silence_timeout_s"):
+        limit = getattr(body, key)
+        if limit > body.idle_timeout_s:
+            allowed = (
+                f"allowed: at most idle_timeout_s, {body.idle_timeout_s:g} seconds"
+            )
+            mistakes.append(Mistake(about, key, f"{limit:g}", allowed))
+    return mistakes
+
+
+def _check_envelope(value):
+    about = subject(value.get("kind", "?"), value.get("name", "?"))
+    mistakes = []
+    checks = {"kind": Choice(Kind), "name": Name(), "version": VERSION}
+    if "created" in value:
+        checks["created"] = VERSION
+    for key, check in checks.items():
+        if not _fits(check, value.get(key)):
+            mistakes.append(Mistake(about, key, shown(value.get(key)), check.allowed))
+    operation = value.get("operation", "")
+    if not isinstance(operation, str) or len(operation) > MAX_OPERATION_LENGTH:
+        allowed = f"allowed: text of at most {MAX_OPERATION_LENGTH} characters"
+        mistakes.append(Mistake(about, "operation", shown(operation), allowed))
+    if not isinstance(value.get("deleted", False), bool):
+        found = shown(value["deleted"])
+        mistakes.append(Mistake(about, "deleted", found, "allowed: true, false"))
+    return mistakes
--- /dev/null
+++ b/kumquatshift/consistency.py
@@ -0,0 +1,81 @@
+"""Checks across objects: names that must exist, addresses that must differ."""
+
+from collections.abc import Iterable
+
+from returns import result
+from returns.result import Result, Success
+
+from .codec import bad_input, kind_of, subject
+from .engine.objects import Body, Kind, Service, Target
+from .errors import Failure
+from .fields import Mistake, nearest
+
+Key = tuple[Kind, str]
+
+
+def key_of(body: Body) -> Key:
+    """Return what singles out an object."""
+    return kind_of(body), body.name
+
+
+def find_mistakes(bodies: Iterable[Body]) -> list[Mistake]:
+    """Return every mistake between the objects of one whole configuration."""
+    bodies = sorted(bodies, key=key_of)
+    names = {kind: {b.name for b in bodies if kind_of(b) is kind} for kind in Kind}
+    mistakes = []
+    for body in bodies:
+        mistakes += _check_references(body, names)
+    mistakes += _check_unique(bodies, Service, ("address", "port", "protocol"))
+    mistakes += _check_unique(bodies, Target, ("service", "host", "port"))
+    return mistakes
+
+
+def check_change(
+    standing: Iterable[Body], changed: Iterable[Body], removed: Iterable[Key] = ()
+) -> Result[tuple[Body, ...], Failure]:
+    """Check what a change would lead to; return the objects that would stand.
+
+    Mistakes that stood before do not count, so that one of them can be mended
+    without the others.
+    """
+    before = {key_of(body): body for body in standing}
+    after = before | {key_of(body): body for body in changed}
+    for key in removed:
+        after.pop(key, None)
+    old = set(find_mistakes(before.values()))
+    new = [mistake for mistake in find_mistakes(after.values()) if mistake not in old]
+    if new:
+        return result.Failure(bad_input(new))
+    return Success(tuple(after.values()))
+
+
+def _check_references(body, names):
+    wanted = {}
+    if isinstance(body, Service):
+        wanted = {"profile": Kind.PROFILE}
+    if isinstance(body, Target):
+        wanted = {"service": Kind.SERVICE, "domain": Kind.DOMAIN}
+    about = subject(kind_of(body), body.name)
+    mistakes = []
+    for field, kind in wanted.items():
+        name = getattr(body, field)
+        if name not in names[kind]:
+            hint = nearest(name, names[kind]) if names[kind] else "none exists yet"
+            allowed = f"there is no {kind} of that name; {hint}"
+            mistakes.append(Mistake(about, field, repr(name), allowed))
+    return mistakes
+
+
+def _check_unique(bodies, cls, fields):
+    seen, mistakes = {}, []
+    for body in bodies:
+        if not isinstance(body, cls):
+            continue
+        place = tuple(getattr(body, field) for field in fields)
+        other = seen.setdefault(place, body)
+        if other is not body:
+            about = subject(kind_of(body), body.name)
+            found = ", ".join(str(part) for part in place)
+            allowed = f"{subject(kind_of(body), other.name)} is there already"
+            mistakes.append(Mistake(about, "/".join(fields), found, allowed))
+    return mistakes
--- /dev/null
+++ b/kumquatshift/fields.py
@@ -0,0 +1,181 @@
+"""Checks of single fields: what a value may be, and how a wrong one is told."""
+
+import math
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from difflib import get_close_matches
+from enum import StrEnum
+from ipaddress import AddressValueError, IPv4Address
+from typing import Protocol
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+MAX_TEXT_SHOWN = 60
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """One wrong field of one object, told so that it can be mended at sight."""
+
+    subject: str
+    field: str
+    found: str
+    allowed: str
+
+    def __str__(self):
+        return f"{self.subject}: {self.field}: found {self.found}; {self.allowed}"
+
+
+class Invalid(Exception):  # noqa: N818
+    """A value is not what its field allows."""
+
+
+class Check(Protocol):
+    """What one field allows."""
+
+    allowed: str
+
+    def read(self, value: object) -> object:
+        """Return the typed value; raise `Invalid` for any other."""
+        ...
+
+    def from_text(self, text: str) -> object:
+        """Turn an INI value into what `read` takes."""
+        ...
+
+
+@dataclass(frozen=True)
+class Number:
+    """A finite number from ``low`` to ``high``, both included."""
+
+    low: float
+    high: float
+    unit: str = ""
+
+    @property
+    def allowed(self):
+        """Say the range."""
+        unit = f" {self.unit}" if self.unit else ""
+        return f"allowed: a number from {self.low:g} to {self.high:g}{unit}"
+
+    def read(self, value):
+        """Return a float."""
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise Invalid
+        if not math.isfinite(value) or not self.low <= value <= self.high:
+            raise Invalid
+        return float(value)
+
+    def from_text(self, text):
+        """Return a number, or the text itself when it is none."""
+        try:
+            return float(text)
+        except ValueError:
+            return text
+
+
+@dataclass(frozen=True)
+class Whole:
+    """A whole number from ``low`` to ``high``, both included."""
+
+    low: int
+    high: int
+
+    @property
+    def allowed(self):
+        """Say the range."""
+        return f"allowed: a whole number from {self.low} to {self.high}"
+
+    def read(self, value):
+        """Return an int."""
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise Invalid
+        if not self.low <= value <= self.high:
+            raise Invalid
+        return value
+
+    def from_text(self, text):
+        """Return a whole number, or the text itself when it is none."""
+        try:
+            return int(text)
+        except ValueError:
+            return text
+
+
+@dataclass(frozen=True)
+class Choice:
+    """One of the words of an enumeration."""
+
+    words: type[StrEnum]
+
+    @property
+    def allowed(self):
+        """List the words."""
+        return "allowed: " + ", ".join(self.words)
+
+    def read(self, value):
+        """Return the member of the enumeration."""
+        if not isinstance(value, str) or value not in list(self.words):
+            raise Invalid
+        return self.words(value)
+
+    def from_text(self, text):
+        """Return the text."""
+        return text
+
+
+@dataclass(frozen=True)
+class Address:
+    """An IPv4 address that one machine can have."""
+
+    allowed = "allowed: an IPv4 address such as 10.0.0.1"
+
+    def read(self, value):
+        """Return the address as text."""
+        if not isinstance(value, str):
+            raise Invalid
+        try:
+            address = IPv4Address(value)
+        except AddressValueError as exc:
+            raise Invalid from exc
+        if address.is_multicast or address.is_unspecified or address.is_reserved:
+            raise Invalid
+        return value
+
+    def from_text(self, text):
+        """Return the text."""
+        return text
+
+
+@dataclass(frozen=True)
+class Name:
+    """The name of an object."""
+
+    allowed = "allowed: 1 to 63 letters, digits, '-', '_' or '.', no sign first"
+
+    def read(self, value):
+        """Return the name."""
+        if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+            raise Invalid
+        return value
+
+    def from_text(self, text):
+        """Return the text."""
+        return text
+
+
+def shown(value: object) -> str:
+    """Return a value as an error message shows it, cut to a readable length."""
+    text = repr(value)
+    if len(text) <= MAX_TEXT_SHOWN:
+        return text
+    return text[:MAX_TEXT_SHOWN] + "..."
+
+
+def nearest(word: str, known: Iterable[str]) -> str:
+    """Return a hint that names the known word nearest to a mistyped one."""
+    known = sorted(known)
+    close = get_close_matches(word, known, n=1)
+    if close:
+        return f"did you mean {close[0]!r}?"
+    return "known: " + ", ".join(known)
