--- a/kumquatshift/adapters/platform.py
+++ b/kumquatshift/adapters/platform.py
@@ -329,9 +329,7 @@
 def _read_written(reply, kind, name, version):
     if reply.code == 200:
         return object_from_json(reply.value)
-    if reply.code == 404:
-        return _standing_after_404(reply, kind, name)
-    if reply.code == 409:
+    if reply.code in (404, 409):
         return result.Failure(_conflict(reply, kind, name, version))
     if reply.code >= 500:
         failure = _unexpected(reply)
@@ -342,7 +340,8 @@
 def _conflict(reply, kind, name, version):
     obj = object_from_json(reply.value)
     standing = obj.unwrap() if is_successful(obj) else None
-    found = f"version {standing.version}" if standing else "nothing"
+    live = standing is not None and standing.body is not None
+    found = f"version {standing.version}" if live else "nothing"
     text = f"{kind}/{name}: expected version {version}, but {found} stands"
     remedy = f"look at it with: kumquat-ctl {kind} show {name}"
     return Conflict(ErrorKind.CONFLICT, text, remedy, standing)
--- /dev/null
+++ b/kumquatshift/cli/changes.py
@@ -0,0 +1,155 @@
+"""What has to change so that wanted objects stand, and how it is told."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from returns import result
+from returns.result import Result, Success
+
+from ..codec import body_to_json, kind_of, subject
+from ..consistency import check_change, check_removal
+from ..engine.objects import Body, Kind, Versioned
+from ..errors import ErrorKind, Failure
+from .files import Wanted
+
+ORDER = (Kind.PROFILE, Kind.SERVICE, Kind.DOMAIN, Kind.TARGET)
+
+
+@dataclass(frozen=True)
+class Difference:
+    """One field before and after; None where the object does not exist."""
+
+    field: str
+    before: object
+    after: object
+
+    def __str__(self):
+        if self.before is None:
+            return f"{self.field} = {self.after}"
+        if self.after is None:
+            return f"{self.field} was {self.before}"
+        return f"{self.field}: {self.before} -> {self.after}"
+
+
+@dataclass(frozen=True)
+class Change:
+    """One object to write, or to delete if ``after`` is None.
+
+    ``before`` is what was read; None if nothing stood.
+    """
+
+    kind: Kind
+    name: str
+    before: Versioned | None
+    after: Body | None
+
+    @property
+    def subject(self) -> str:
+        """Name the object in messages."""
+        return subject(self.kind, self.name)
+
+    @property
+    def version(self) -> int:
+        """The version that must still stand, 0 if none may."""
+        return self.before.version if self.before else 0
+
+    @property
+    def action(self) -> str:
+        """Say what is done."""
+        if self.after is None:
+            return "remove"
+        if self.before is None:
+            return "create"
+        return "keep" if self.before.body == self.after else "change"
+
+    @property
+    def differences(self) -> tuple[Difference, ...]:
+        """The fields that change."""
+        return differences(self.before and self.before.body, self.after)
+
+
+def differences(before: Body | None, after: Body | None) -> tuple[Difference, ...]:
+    """Return the fields in which two bodies differ."""
+    old = body_to_json(before) if before else {}
+    new = body_to_json(after) if after else {}
+    return tuple(
+        Difference(field, old.get(field), new.get(field))
+        for field in old | new
+        if old.get(field) != new.get(field)
+    )
+
+
+def plan_apply(
+    standing: Iterable[Versioned], wanted: Sequence[Wanted]
+) -> Result[tuple[Change, ...], Failure]:
+    """Return the changes, those that others need first; check what they lead to.
+
+    A state that the file does not name stays as it stands, so that applying a
+    file never brings back what operators have taken out.
+    """
+    live = {(obj.kind, obj.name): obj for obj in standing if obj.body is not None}
+    changes = []
+    for one in sorted(wanted, key=lambda one: ORDER.index(one.kind)):
+        before = live.get((one.kind, one.body.name))
+        stale = _check_version(one, before)
+        if stale:
+            return result.Failure(stale)
+        after = _keep_state(one, before)
+        changes.append(Change(one.kind, one.body.name, before, after))
+    bodies = [obj.body for obj in live.values()]
+    checked = check_change(bodies, [change.after for change in changes])
+    return checked.map(lambda _: tuple(changes))
+
+
+def plan_state(
+    standing: Iterable[Versioned], kind: Kind, name: str, state
+) -> Result[tuple[Change, ...], Failure]:
+    """Return the change of one object's state."""
+    return find(standing, kind, name).map(
+        lambda obj: (Change(kind, name, obj, replace(obj.body, state=state)),)
+    )
+
+
+def plan_remove(
+    standing: Iterable[Versioned], kind: Kind, name: str
+) -> Result[tuple[Change, ...], Failure]:
+    """Return the removal of one object; refuse it while others need it."""
+    bodies = [obj.body for obj in standing if obj.body is not None]
+
+    def check(obj):
+        allowed = check_removal(bodies, (kind, name))
+        return allowed.map(lambda _: (Change(kind, name, obj, None),))
+
+    return find(standing, kind, name).bind(check)
+
+
+def find(
+    standing: Iterable[Versioned], kind: Kind, name: str
+) -> Result[Versioned, Failure]:
+    """Return one live object by its name."""
+    for obj in standing:
+        if (obj.kind, obj.name) == (kind, name) and obj.body is not None:
+            return Success(obj)
+    text = f"{subject(kind, name)} does not exist"
+    remedy = f"see the names with: kumquat-ctl {kind} list"
+    return result.Failure(Failure(ErrorKind.NOT_FOUND, text, remedy))
+
+
+def _keep_state(one, before):
+    if before is None or "state" in one.given or not hasattr(one.body, "state"):
+        return one.body
+    return replace(one.body, state=before.body.state)
+
+
+def _check_version(one, before):
+    found = before.version if before else 0
+    if one.version is None or one.version == found:
+        return None
+    about = subject(kind_of(one.body), one.body.name)
+    text = f"{about}: the file is made from version {one.version}"
+    text += f", but {f'version {found}' if found else 'nothing'} stands"
+    if before is not None:
+        told = "; ".join(str(diff) for diff in differences(before.body, one.body))
+        text += f" (operation {before.operation or 'unnamed'}); it differs in: {told}"
+    remedy = f"merge with: kumquat-ctl {one.kind} show {one.body.name}"
+    return Failure(ErrorKind.CONFLICT, text, remedy)
--- /dev/null
+++ b/kumquatshift/cli/definition.py
@@ -0,0 +1,239 @@
+"""The commands that `fire` offers; each one only says what was asked for.
+
+Fire calls a command before it has looked at all arguments, so a command here
+returns a request and does nothing: a mistyped flag is found before any write.
+"""
+
+import math
+
+from ..engine.objects import DomainState, Kind, TargetState
+from .constants import MAX_WAIT_S
+from .requests import (
+    ApplyRequest,
+    ChangeOptions,
+    DiffRequest,
+    DumpRequest,
+    ListRequest,
+    RemoveRequest,
+    ShowRequest,
+    StateRequest,
+    StatusRequest,
+    WaitRequest,
+)
+
+
+class UsageError(Exception):
+    """An argument is not what its command takes."""
+
+
+class _Objects:
+    """Commands that every kind of object has."""
+
+    def __init__(self, kind: Kind):
+        self._kind = kind
+
+    def list(self, *, json="False"):
+        """List all objects of this kind.
+
+        Args:
+            json: print JSON instead of a table
+        """
+        return ListRequest(self._kind, read_switch("--json", json))
+
+    def show(self, name, *, json="False"):
+        """Show one object, in the form that `apply` takes.
+
+        Args:
+            name: the object's name
+            json: print JSON instead of INI
+        """
+        return ShowRequest(
+            self._kind, read_word("--name", name), read_switch("--json", json)
+        )
+
+    def apply(self, file, *, wait="", dry_run="False", json="False"):
+        """Create or change the objects of a file, which may hold this kind only.
+
+        Args:
+            file: INI or JSON; see docs/OPERATORS.md
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        options = read_options(wait, dry_run, json)
+        return ApplyRequest(read_word("--file", file), self._kind, options)
+
+    def remove(self, name, *, wait="", dry_run="False", json="False"):
+        """Delete one object that no other one needs.
+
+        Args:
+            name: the object's name
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        options = read_options(wait, dry_run, json)
+        return RemoveRequest(self._kind, read_word("--name", name), options)
+
+    def _set_state(self, name, state, wait, dry_run, json):
+        options = read_options(wait, dry_run, json)
+        return StateRequest(self._kind, read_word("--name", name), state, options)
+
+
+class ProfileCommands(_Objects):
+    """Traffic profiles: how the traffic of a service is treated."""
+
+
+class ServiceCommands(_Objects):
+    """Services: the addresses that callers use."""
+
+
+class TargetCommands(_Objects):
+    """Targets: the back ends of services."""
+
+    def admit(self, name, *, wait="", dry_run="False", json="False"):
+        """Let a target take new work; it starts cold.
+
+        Args:
+            name: the target
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        return self._set_state(name, TargetState.ADMITTED, wait, dry_run, json)
+
+    def retire(self, name, *, wait="", dry_run="False", json="False"):
+        """Give a target no new work; its open flows stay to their end.
+
+        Args:
+            name: the target
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        return self._set_state(name, TargetState.RETIRED, wait, dry_run, json)
+
+
+class DomainCommands(_Objects):
+    """Failure domains, which operators take out and bring back."""
+
+    def out(self, name, *, wait="", dry_run="False", json="False"):
+        """Take a domain out: it gets no more packets, its flows are given up.
+
+        Args:
+            name: the domain
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        return self._set_state(name, DomainState.OUT, wait, dry_run, json)
+
+    def into(self, name, *, wait="", dry_run="False", json="False"):
+        """Bring a domain back; its targets start cold. Also spelled `in`.
+
+        Args:
+            name: the domain
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        return self._set_state(name, DomainState.IN, wait, dry_run, json)
+
+
+# `in` is a word of the language, so it cannot be the name of a method.
+setattr(DomainCommands, "in", DomainCommands.into)
+
+
+class Commands:
+    """Operate a kumquatshift site through the platform's objects.
+
+    Flags of every command: --settings FILE names the INI settings, --platform
+    URL goes before them. Exit statuses are listed in docs/OPERATORS.md.
+    """
+
+    def __init__(self):
+        self.profile = ProfileCommands(Kind.PROFILE)
+        self.service = ServiceCommands(Kind.SERVICE)
+        self.target = TargetCommands(Kind.TARGET)
+        self.domain = DomainCommands(Kind.DOMAIN)
+
+    def apply(self, file, *, wait="", dry_run="False", json="False"):
+        """Create or change all objects of a file; nothing is deleted.
+
+        Args:
+            file: INI or JSON; see docs/OPERATORS.md
+            wait: seconds to wait until the change is in force at every entry
+            dry_run: say what would change, and change nothing
+            json: print JSON
+        """
+        options = read_options(wait, dry_run, json)
+        return ApplyRequest(read_word("--file", file), None, options)
+
+    def diff(self, file, *, json="False"):
+        """Compare a file with the platform; exit status 0 even if they differ.
+
+        Args:
+            file: INI or JSON; see docs/OPERATORS.md
+            json: print JSON
+        """
+        return DiffRequest(read_word("--file", file), read_switch("--json", json))
+
+    def status(self, *, json="False"):
+        """Show domains, entries, targets, flows and versions in force.
+
+        Args:
+            json: print JSON instead of tables
+        """
+        return StatusRequest(read_switch("--json", json))
+
+    def dump(self, entry):
+        """Print the whole state of one entry as JSON.
+
+        Args:
+            entry: its name or its IP address
+        """
+        return DumpRequest(read_word("--entry", entry))
+
+    def wait(self, seconds, *, json="False"):
+        """Wait until what stands now is in force at every entry in reach.
+
+        Args:
+            seconds: the longest wait
+            json: print JSON
+        """
+        return WaitRequest(read_wait(seconds), read_switch("--json", json))
+
+
+def read_options(wait, dry_run, json) -> ChangeOptions:
+    """Return the options of a change, each checked."""
+    return ChangeOptions(
+        dry_run=read_switch("--dry-run", dry_run),
+        wait_s=read_wait(wait) if wait else None,
+        as_json=read_switch("--json", json),
+    )
+
+
+def read_word(flag, value) -> str:
+    """Return an argument; fire gives True for a flag with nothing after it."""
+    if not isinstance(value, str):
+        raise UsageError(f"{flag}: nothing after it; allowed: one value")
+    return value
+
+
+def read_switch(flag, value) -> bool:
+    """Return whether a switch is on; it takes no other value."""
+    if value not in ("True", "False"):
+        raise UsageError(f"{flag}: found {value!r}; allowed: nothing after it")
+    return value == "True"
+
+
+def read_wait(value) -> float:
+    """Return a number of seconds to wait."""
+    try:
+        seconds = float(read_word("--wait", value))
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds <= MAX_WAIT_S:
+        allowed = f"allowed: seconds, more than 0 and at most {MAX_WAIT_S:g}"
+        raise UsageError(f"--wait: found {value!r}; {allowed}")
+    return seconds
--- /dev/null
+++ b/kumquatshift/cli/files.py
@@ -0,0 +1,182 @@
+"""Files of configuration objects, in INI or JSON, and the same as text.
+
+In INI a section is an object, ``[KIND NAME]``, and its keys are the fields::
+
+    [target t1]
+    service = tills
+    domain = north-a
+    host = 127.0.2.1
+    port = 6080
+
+``version`` may be given too: the object is then changed only if that version
+still stands. JSON is what ``list --json`` prints: ``{"items": [...]}``.
+"""
+
+import configparser
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from returns import result
+from returns.result import Result, Success
+
+from ..codec import (
+    REQUIRED_VERSION,
+    bad_input,
+    body_to_json,
+    decode_body,
+    fields_from_text,
+    subject,
+)
+from ..engine.objects import Body, Kind, Versioned
+from ..errors import ErrorKind, Failure
+from ..fields import Invalid, Mistake, nearest, shown
+
+NO_DEFAULT_SECTION = "\n"
+
+
+@dataclass(frozen=True)
+class Wanted:
+    """One object of a file.
+
+    ``given`` are the fields that the file names; ``version`` is what must
+    stand, or None if any may.
+    """
+
+    kind: Kind
+    body: Body
+    given: frozenset[str]
+    version: int | None = None
+
+
+@dataclass(frozen=True)
+class _Raw:
+    kind: str
+    name: object
+    fields: object
+
+
+def read_objects(text: str, kind: Kind | None) -> Result[tuple[Wanted, ...], Failure]:
+    """Return the objects of a file, or every mistake in it.
+
+    With a ``kind`` the file may hold objects of that kind only.
+    """
+    try:
+        raws = _read_json(text) if text.lstrip()[:1] in "{[" else _read_ini(text)
+    except (ValueError, configparser.Error) as exc:
+        told = " ".join(str(exc).split())
+        failure = Failure(ErrorKind.BAD_INPUT, told, "mend the file; nothing changed")
+        return result.Failure(failure)
+    wanted, mistakes = [], []
+    for raw in raws:
+        wrong = _check_kind(raw, kind)
+        if not wrong:
+            one, wrong = _read_one(raw)
+            wanted.append(one)
+        mistakes += wrong
+    mistakes += _check_twice(raws)
+    if not raws:
+        allowed = "allowed: sections such as [target t1]"
+        mistakes.append(Mistake("file", "objects", "none", allowed))
+    if mistakes:
+        return result.Failure(bad_input(mistakes))
+    return Success(tuple(wanted))
+
+
+def to_ini(objects: Sequence[Versioned]) -> str:
+    """Return objects as a file that `read_objects` takes."""
+    return "\n".join(_section(obj) for obj in objects)
+
+
+def _section(obj):
+    lines = [f"[{obj.kind} {obj.name}]"]
+    lines += [f"{key} = {_text(val)}" for key, val in body_to_json(obj.body).items()]
+    lines.append(f"version = {obj.version}")
+    if obj.operation:
+        lines.append(f"# written by operation {obj.operation}")
+    return "\n".join(lines) + "\n"
+
+
+def _text(value):
+    whole = isinstance(value, float) and value.is_integer()
+    return str(int(value) if whole else value)
+
+
+def _read_ini(text):
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section=NO_DEFAULT_SECTION
+    )
+    parser.read_string(text, source="file")
+    raws = []
+    for title in parser.sections():
+        words = title.split()
+        kind, name = words if len(words) == 2 else (title, "")
+        texts = dict(parser[title])
+        raws.append(_Raw(kind, name, texts))
+    return raws
+
+
+def _read_json(text):
+    value = json.loads(text)
+    items = value.get("items") if isinstance(value, Mapping) else value
+    if not isinstance(items, list):
+        raise ValueError('the JSON value must be {"items": [{"kind", "name", "body"}]}')
+    return [_raw_of(item) for item in items]
+
+
+def _raw_of(item):
+    if not isinstance(item, Mapping):
+        raise ValueError(f"found {shown(item)}; allowed: an object with kind and name")
+    fields = item.get("body")
+    if isinstance(fields, Mapping) and "version" in item:
+        fields = {**fields, "version": item["version"]}
+    return _Raw(str(item.get("kind")), item.get("name"), fields)
+
+
+def _check_kind(raw, kind):
+    about = subject(raw.kind, raw.name)
+    if raw.kind not in list(Kind):
+        hint = nearest(raw.kind, list(Kind))
+        allowed = f"no such kind of object; {hint}; write [KIND NAME]"
+        return [Mistake(about, "kind", shown(raw.kind), allowed)]
+    if kind is not None and raw.kind != kind:
+        allowed = f"allowed: {kind}; for all kinds use: kumquat-ctl apply FILE"
+        return [Mistake(about, "kind", shown(raw.kind), allowed)]
+    return []
+
+
+def _read_one(raw):
+    kind, fields = Kind(raw.kind), raw.fields
+    if isinstance(fields, Mapping):
+        texts = {k: v for k, v in fields.items() if isinstance(v, str)}
+        fields = {**fields, **fields_from_text(kind, texts)}
+    version, wrong = None, []
+    if isinstance(fields, Mapping) and "version" in fields:
+        version, wrong = _read_version(raw, fields.pop("version"))
+    decoded = decode_body(kind, raw.name, fields)
+    mistakes = [*wrong, *decoded.mistakes]
+    if mistakes:
+        return None, mistakes
+    return Wanted(kind, decoded.body, frozenset(fields), version), []
+
+
+def _read_version(raw, value):
+    if isinstance(value, str):
+        value = REQUIRED_VERSION.from_text(value)
+    try:
+        return REQUIRED_VERSION.read(value), []
+    except Invalid:
+        about = subject(raw.kind, raw.name)
+        allowed = REQUIRED_VERSION.allowed
+        return None, [Mistake(about, "version", shown(value), allowed)]
+
+
+def _check_twice(raws):
+    seen, mistakes = set(), []
+    for raw in raws:
+        key = (raw.kind, str(raw.name))
+        if key in seen:
+            about = subject(raw.kind, raw.name)
+            mistakes.append(Mistake(about, "name", "it twice", "allowed: once a file"))
+        seen.add(key)
+    return mistakes
--- /dev/null
+++ b/kumquatshift/cli/report.py
@@ -0,0 +1,190 @@
+"""The state of a site, put together from the platform and its entries."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from tabulate import tabulate
+
+from ..codec import subject
+from ..engine.objects import Kind, Versioned
+from .entries import Entry
+from .waiting import judge, wishes
+
+NO_ANSWER = "no answer"
+
+
+@dataclass(frozen=True)
+class DomainRow:
+    """One failure domain."""
+
+    domain: str
+    state: str
+    entries: int
+    in_reach: int
+    targets: int
+    flows: int
+
+
+@dataclass(frozen=True)
+class EntryRow:
+    """One entry; ``behind`` counts objects whose version is not in force."""
+
+    entry: str
+    domain: str
+    address: str
+    state: str
+    held: int | None
+    primary: int | None
+    behind: int | None
+
+
+@dataclass(frozen=True)
+class TargetRow:
+    """One target; ``share`` is its part of the work of its service."""
+
+    target: str
+    service: str
+    domain: str
+    state: str
+    flows: int
+    sent: int
+    share: float
+
+
+@dataclass(frozen=True)
+class SiteReport:
+    """All rows, and what could not be found out."""
+
+    version: int | None
+    objects: int
+    domains: tuple[DomainRow, ...]
+    entries: tuple[EntryRow, ...]
+    targets: tuple[TargetRow, ...]
+    late: tuple[str, ...]
+    missing: tuple[str, ...]
+
+
+def build(
+    version: int | None,
+    objects: Sequence[Versioned],
+    entries: Sequence[Entry],
+    dumps: Mapping[str, Mapping | None],
+    missing: Sequence[str] = (),
+) -> SiteReport:
+    """Return the report; ``dumps`` has None for an entry without an answer."""
+    versions = {
+        name: None if dump is None else dump.get("versions", {})
+        for name, dump in dumps.items()
+    }
+    waiting = judge(wishes(objects), versions)
+    behind = Counter(late.entry for late in waiting.behind)
+    rows = [_entry_row(one, dumps[one.name], behind[one.name]) for one in entries]
+    targets = _target_rows(objects, dumps.values())
+    return SiteReport(
+        version=version,
+        objects=len(objects),
+        domains=_domain_rows(objects, rows, targets),
+        entries=tuple(rows),
+        targets=targets,
+        late=tuple(str(late) for late in waiting.behind),
+        missing=tuple(missing),
+    )
+
+
+def to_text(report: SiteReport) -> str:
+    """Return the report as tables."""
+    parts = [
+        _table("domains", report.domains),
+        _table("entries", report.entries),
+        _table("targets", report.targets),
+    ]
+    if report.version is not None:
+        objects = f"{report.objects} objects at platform version {report.version}"
+        parts.append(f"{objects}; versions not in force: {len(report.late)}")
+    parts += [f"late: {line}" for line in report.late]
+    parts += [f"missing: {line}" for line in report.missing]
+    return "\n\n".join(parts[:3]) + "\n\n" + "\n".join(parts[3:]) + "\n"
+
+
+def object_table(objects: Sequence[Versioned]) -> str:
+    """Return objects of one kind as a table."""
+    rows = [
+        {"name": obj.name, **_plain(obj.body), "version": obj.version}
+        for obj in sorted(objects, key=lambda obj: obj.name)
+    ]
+    return tabulate(rows, headers="keys") + "\n" if rows else "none\n"
+
+
+def _table(title, rows):
+    if not rows:
+        return f"{title}: none"
+    values = [_plain(row) for row in rows]
+    text = tabulate(values, headers="keys", missingval="-", floatfmt=".3f")
+    return text
+
+
+def _plain(row):
+    return {key: val for key, val in vars(row).items() if key != "name"}
+
+
+def _entry_row(entry, dump, behind):
+    if dump is None:
+        empty = (None, None, None)
+        return EntryRow(entry.name, entry.domain, entry.address, NO_ANSWER, *empty)
+    flows = dump.get("flows", {})
+    return EntryRow(
+        dump.get("name", entry.name),
+        dump.get("domain", entry.domain),
+        entry.address,
+        str(dump.get("state", "?")),
+        flows.get("held"),
+        flows.get("primary"),
+        behind,
+    )
+
+
+def _target_rows(objects, dumps):
+    flows, sent = Counter(), Counter()
+    for dump in dumps:
+        for name, figures in (dump or {}).get("targets", {}).items():
+            flows[name] += figures.get("flows", 0)
+            sent[name] += figures.get("sent", 0)
+    bodies = [obj.body for obj in objects if obj.kind is Kind.TARGET]
+    totals = Counter()
+    for body in bodies:
+        totals[body.service] += sent[body.name]
+    return tuple(
+        TargetRow(
+            target=body.name,
+            service=body.service,
+            domain=body.domain,
+            state=body.state.value,
+            flows=flows[body.name],
+            sent=sent[body.name],
+            share=sent[body.name] / (totals[body.service] or 1),
+        )
+        for body in sorted(bodies, key=lambda body: (body.service, body.name))
+    )
+
+
+def _domain_rows(objects, entries, targets):
+    bodies = [obj.body for obj in objects if obj.kind is Kind.DOMAIN]
+    return tuple(
+        DomainRow(
+            domain=body.name,
+            state=body.state.value,
+            entries=sum(row.domain == body.name for row in entries),
+            in_reach=sum(
+                row.domain == body.name and row.state != NO_ANSWER for row in entries
+            ),
+            targets=sum(row.domain == body.name for row in targets),
+            flows=sum(row.flows for row in targets if row.domain == body.name),
+        )
+        for body in sorted(bodies, key=lambda body: body.name)
+    )
+
+
+def missing_of(kind: Kind, name: str) -> str:
+    """Say that an object could not be read."""
+    return f"{subject(kind, name)} cannot be read; kumquat-ctl is too old for it"
--- /dev/null
+++ b/kumquatshift/cli/writer.py
@@ -0,0 +1,161 @@
+"""Conditional writes that know, after a lost answer, whether they took effect."""
+
+import re
+import uuid
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from returns import result
+from returns.pipeline import is_successful
+from returns.result import Result, Success
+from twisted.internet import defer
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from ..engine.objects import Versioned
+from ..errors import ErrorKind, Failure
+from ..platform_port import Conflict, Platform
+from .changes import Change, differences
+from .constants import OPERATOR_VARIABLES
+
+READ_BACK_TRIES = 4
+READ_BACK_WAIT_S = 0.5
+HISTORY_TIMEOUT_S = 6.0
+UNTOLD = "whether your write took effect before it is unknown"
+UNSURE = (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.TIMEOUT)
+
+
+def new_operation(variables: Mapping[str, str]) -> str:
+    """Return a fresh operation id that begins with the operator's name."""
+    names = [variables[key] for key in OPERATOR_VARIABLES if variables.get(key)]
+    who = re.sub(r"[^A-Za-z0-9._-]", "", names[0])[:32] if names else ""
+    return f"{who or 'operator'}-{uuid.uuid4().hex[:12]}"
+
+
+@dataclass(frozen=True)
+class Written:
+    """A write that took effect; ``answer_lost`` if only reading back told so."""
+
+    version: int
+    operation: str
+    answer_lost: bool = False
+
+
+class Writer:
+    """Writes changes, each under the version that was read and an id of its own.
+
+    Sending a conditional write again is harmless: it takes effect once at most,
+    and a conflict with its own id shows that it did before.
+    """
+
+    def __init__(self, platform: Platform, clock, make_operation: Callable[[], str]):
+        self._platform = platform
+        self._clock = clock
+        self._make_operation = make_operation
+
+    async def write(self, change: Change) -> Result[Written, Failure]:
+        """Write one change, or say why not; never an overwrite of another's."""
+        operation = self._make_operation()
+        answer = await self._send(change, operation)
+        if is_successful(answer):
+            return Success(Written(answer.unwrap().version, operation))
+        failure = answer.failure()
+        if failure.kind in UNSURE:
+            return await self._settle(change, operation)
+        if isinstance(failure, Conflict):
+            failure = conflict(change, failure.standing)
+        return result.Failure(failure)
+
+    async def _settle(self, change, operation):
+        """Find out what became of a write whose answer was lost."""
+        for _ in range(READ_BACK_TRIES):
+            await deferLater(self._clock, READ_BACK_WAIT_S)
+            answer = await self._read_back(change, operation)
+            if is_successful(answer):
+                return Success(Written(answer.unwrap().version, operation, True))
+            failure = answer.failure()
+            if isinstance(failure, Conflict):
+                return await self._judge(change, operation, failure.standing)
+        return result.Failure(_unknown(change, operation))
+
+    def _send(self, change, operation):
+        if change.after is None:
+            return self._platform.delete_object(
+                change.kind, change.name, change.version, operation
+            )
+        return self._platform.write_object(change.after, change.version, operation)
+
+    async def _read_back(self, change, operation):
+        """Return our own write if it stands; else send it again."""
+        found = await self._platform.read_object(change.kind, change.name)
+        if is_successful(found) and found.unwrap().operation == operation:
+            return found
+        if not is_successful(found) and found.failure().kind is not ErrorKind.NOT_FOUND:
+            return found
+        return await self._send(change, operation)
+
+    async def _judge(self, change, operation, standing):
+        """Tell a conflict with another's write from one with our own."""
+        if standing is not None and standing.operation == operation:
+            return Success(Written(standing.version, operation, True))
+        upto = standing.version if standing else 0
+        ours = await self._find_in_history(change, operation, upto)
+        return result.Failure(conflict(change, standing, ours))
+
+    async def _find_in_history(self, change, operation, upto):
+        """Say whether our write is among the changes since what we read."""
+        done = Deferred()
+
+        def on_event(event):
+            if isinstance(event, Versioned) and event.operation == operation:
+                _fire(done, f"your write took effect before it, as {event.version}")
+            elif event.version >= upto:
+                _fire(done, "your write did not take effect")
+
+        def on_end(_):
+            _fire(done, UNTOLD)
+
+        watch = self._platform.watch_objects(change.version, on_event, on_end)
+        done.addTimeout(HISTORY_TIMEOUT_S, self._clock)
+        try:
+            return await done
+        except defer.TimeoutError:
+            return UNTOLD
+        finally:
+            watch.stop()
+
+
+def conflict(
+    change: Change, standing: Versioned | None, ours: str = "nothing was written"
+) -> Conflict:
+    """Return a conflict that names the other's change, field by field."""
+    text = f"{change.subject}: {_told(change, standing)}; {ours}"
+    remedy = f"look at it with: kumquat-ctl {change.kind} show {change.name}"
+    return Conflict(ErrorKind.CONFLICT, text, remedy, standing)
+
+
+def _told(change, standing):
+    if standing is None or standing.body is None:
+        by = f" by operation {standing.operation}" if standing else ""
+        return f"it was removed by another{by}, after you read version {change.version}"
+    before = change.before.body if change.before else None
+    fields = "; ".join(str(diff) for diff in differences(before, standing.body))
+    operation = standing.operation or "unnamed"
+    return (
+        f"another change came first, version {standing.version}"
+        f" by operation {operation}: {fields or 'no field differs'}"
+    )
+
+
+def _unknown(change, operation):
+    text = (
+        f"{change.subject}: whether the write took effect is unknown;"
+        f" the platform did not answer. Its operation id is {operation}"
+    )
+    remedy = f"later see: kumquat-ctl {change.kind} show {change.name}"
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, text, remedy)
+
+
+def _fire(fut, value):
+    if not fut.called:
+        fut.callback(value)
--- a/kumquatshift/codec.py
+++ b/kumquatshift/codec.py
@@ -54,6 +54,7 @@
 SHARE = Number(0.0, 1.0)
 PORT = Whole(1, 65535)
 VERSION = Whole(0, MAX_VERSION)
+REQUIRED_VERSION = Whole(1, MAX_VERSION)
 
 TYPES: dict[Kind, type] = {
     Kind.PROFILE: Profile,
--- a/kumquatshift/consistency.py
+++ b/kumquatshift/consistency.py
@@ -7,7 +7,7 @@
 
 from .codec import bad_input, kind_of, subject
 from .engine.objects import Body, Kind, Service, Target
-from .errors import Failure
+from .errors import ErrorKind, Failure
 from .fields import Mistake, nearest
 
 Key = tuple[Kind, str]
@@ -31,7 +31,7 @@
 
 
 def check_change(
-    standing: Iterable[Body], changed: Iterable[Body], removed: Iterable[Key] = ()
+    standing: Iterable[Body], changed: Iterable[Body]
 ) -> Result[tuple[Body, ...], Failure]:
     """Check what a change would lead to; return the objects that would stand.
 
@@ -40,8 +40,6 @@
     """
     before = {key_of(body): body for body in standing}
     after = before | {key_of(body): body for body in changed}
-    for key in removed:
-        after.pop(key, None)
     old = set(find_mistakes(before.values()))
     new = [mistake for mistake in find_mistakes(after.values()) if mistake not in old]
     if new:
@@ -49,16 +47,33 @@
     return Success(tuple(after.values()))
 
 
-def _check_references(body, names):
-    wanted = {}
+def references(body: Body) -> dict[str, Key]:
+    """Return the objects that a body names, by the field that names them."""
     if isinstance(body, Service):
-        wanted = {"profile": Kind.PROFILE}
+        return {"profile": (Kind.PROFILE, body.profile)}
     if isinstance(body, Target):
-        wanted = {"service": Kind.SERVICE, "domain": Kind.DOMAIN}
+        return {
+            "service": (Kind.SERVICE, body.service),
+            "domain": (Kind.DOMAIN, body.domain),
+        }
+    return {}
+
+
+def check_removal(standing: Iterable[Body], key: Key) -> Result[Key, Failure]:
+    """Refuse to remove an object that others name."""
+    users = [body for body in standing if key in references(body).values()]
+    if not users:
+        return Success(key)
+    names = ", ".join(sorted(subject(kind_of(body), body.name) for body in users))
+    text = f"{subject(*key)} cannot be removed: {names} still name it"
+    remedy = "remove them first, or change them to name another"
+    return result.Failure(Failure(ErrorKind.FORBIDDEN, text, remedy))
+
+
+def _check_references(body, names):
     about = subject(kind_of(body), body.name)
     mistakes = []
-    for field, kind in wanted.items():
-        name = getattr(body, field)
+    for field, (kind, name) in references(body).items():
         if name not in names[kind]:
             hint = nearest(name, names[kind]) if names[kind] else "none exists yet"
             allowed = f"there is no {kind} of that name; {hint}"
--- /dev/null
+++ b/kumquatshift/programs/ctl.py
@@ -0,0 +1,88 @@
+"""kumquat-ctl: the operators' command line."""
+
+import sys
+from collections.abc import Sequence
+
+from loguru import logger
+from returns.pipeline import is_successful
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from .. import core
+from ..adapters.platform import PlatformClient
+from ..cli.constants import PROGRAM
+from ..cli.entries import EntryClient
+from ..cli.execution import Executor, tell
+from ..cli.parsing import load_settings, parse
+from ..context import Environment
+from ..status import ExitStatus
+
+
+def run() -> None:
+    """Start from the shell."""
+    sys.exit(core.main(["ctl", *sys.argv[1:]], Environment()))
+
+
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Run one command in a reactor of its own, and return its exit status."""
+    from twisted.internet import reactor  # noqa: PLC0415 (importing installs it)
+
+    logger.remove()
+    logger.add(env.stderr, level="WARNING", format=PROGRAM + ": {message}")
+    prepared = prepare(args, env, reactor)
+    if isinstance(prepared, ExitStatus):
+        return prepared
+    executor, request = prepared
+    return _run_reactor(reactor, executor, request, env)
+
+
+def execute(args: Sequence[str], env: Environment, reactor) -> Deferred:
+    """Give the exit status of one command, run in a reactor that runs already."""
+    prepared = prepare(args, env, reactor)
+    if isinstance(prepared, ExitStatus):
+        return maybeDeferred(lambda: prepared)
+    executor, request = prepared
+    return Deferred.fromCoroutine(executor.run(request))
+
+
+def prepare(args: Sequence[str], env: Environment, reactor):
+    """Return what runs the command and the command, or a status if it cannot run."""
+    request = parse(args, env)
+    if request is None:
+        return ExitStatus.SUCCESS
+    if not is_successful(request):
+        return tell(request.failure(), env)
+    settings = load_settings(args, env)
+    if not is_successful(settings):
+        return tell(settings.failure(), env)
+    cfg = settings.unwrap()
+    platform = PlatformClient(cfg.platform, reactor)
+    entry_client = EntryClient(reactor, cfg.admin_port)
+    executor = Executor(platform, entry_client, reactor, env, cfg.entries)
+    return executor, request.unwrap()
+
+
+def _run_reactor(reactor, executor, request, env):
+    statuses = []
+
+    def start():
+        fut = Deferred.fromCoroutine(executor.run(request))
+        fut.addCallbacks(statuses.append, failed)
+        fut.addBoth(lambda _: reactor.running and reactor.stop())
+        # An interrupt lets the write that runs come to its end, so that the
+        # operator learns what was written.
+        reactor.addSystemEventTrigger("before", "shutdown", interrupt, fut)
+
+    def interrupt(fut):
+        if statuses:
+            return None
+        executor.interrupt()
+        statuses.append(ExitStatus.INTERRUPTED)
+        return fut
+
+    def failed(reason):
+        env.stderr.write(f"{PROGRAM}: internal: {reason.getTraceback()}\n")
+        statuses.append(ExitStatus.ERROR)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    return statuses[0]
