--- a/kumquatshift/adapters/platform.py
+++ b/kumquatshift/adapters/platform.py
@@ -9,23 +9,18 @@
 from loguru import logger
 from returns import result
 from returns.pipeline import is_successful
-from treq.client import HTTPClient
 from twisted.internet import defer, ssl
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineOnlyReceiver
-from twisted.web.client import (
-    Agent,
-    BrowserLikePolicyForHTTPS,
-    HTTPConnectionPool,
-    ResponseFailed,
-)
+from twisted.web.client import BrowserLikePolicyForHTTPS
 
 from ..codec import body_to_json, kind_of, object_from_json
 from ..engine.objects import Body, Kind
 from ..errors import ErrorKind, Failure
 from ..platform_port import Conflict, Expired, Listing, Progress, Vm, VmState
+from .http import limit, new_client, told
 
 CONNECT_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 5.0
@@ -71,7 +66,7 @@
     def __init__(self, cfg: PlatformConfig, reactor):
         self._cfg = cfg
         self._reactor = reactor
-        self._http = HTTPClient(_agent(cfg, reactor))
+        self._http = new_client(reactor, CONNECT_TIMEOUT_S, _policy(cfg))
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str], reactor) -> "PlatformClient":
@@ -134,19 +129,19 @@
             **body,
         )
         fut.addCallback(_collect)
-        return fut.addTimeout(self._cfg.timeout_s, self._reactor)
+        return limit(fut, self._cfg.timeout_s, self._reactor)
 
     def _read_failed(self, reason):
         if reason.check(defer.TimeoutError):
             text = f"the platform gave no answer in {self._cfg.timeout_s:g} s"
             return result.Failure(Failure(ErrorKind.TIMEOUT, text, self._remedy()))
-        text = f"the platform is out of reach: {_told(reason)}"
+        text = f"the platform is out of reach: {told(reason)}"
         return result.Failure(Failure(ErrorKind.UNAVAILABLE, text, self._remedy()))
 
     def _write_failed(self, reason):
         if reason.check(ConnectError):
             return self._read_failed(reason)
-        text = f"the answer to the write was lost: {_told(reason)}"
+        text = f"the answer to the write was lost: {told(reason)}"
         remedy = "read the object back; its operation id tells"
         return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, text, remedy))
 
@@ -190,7 +185,7 @@
 
     def connectionLost(self, reason):  # noqa: N802
         """Tell that the watch has ended."""
-        self._end(Failure(ErrorKind.UNAVAILABLE, f"the watch ended: {_told(reason)}"))
+        self._end(Failure(ErrorKind.UNAVAILABLE, f"the watch ended: {told(reason)}"))
 
     def _opened(self, response):
         if self._stopped:
@@ -202,7 +197,7 @@
             self._end(_refused_watch(response.code))
 
     def _failed(self, reason):
-        self._end(Failure(ErrorKind.UNAVAILABLE, f"no watch: {_told(reason)}"))
+        self._end(Failure(ErrorKind.UNAVAILABLE, f"no watch: {told(reason)}"))
 
     def _end(self, failure):
         if not self._stopped:
@@ -218,14 +213,11 @@
         self.transport.loseConnection()
 
 
-def _agent(cfg, reactor):
-    # Kept connections would make Twisted send a write again by itself.
-    pool = HTTPConnectionPool(reactor, persistent=False)
-    policy = BrowserLikePolicyForHTTPS()
-    if cfg.ca:
-        root = ssl.Certificate.loadPEM(Path(cfg.ca).read_bytes())
-        policy = BrowserLikePolicyForHTTPS(ssl.trustRootFromCertificates([root]))
-    return Agent(reactor, policy, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+def _policy(cfg):
+    if not cfg.ca:
+        return None
+    root = ssl.Certificate.loadPEM(Path(cfg.ca).read_bytes())
+    return BrowserLikePolicyForHTTPS(ssl.trustRootFromCertificates([root]))
 
 
 def _read(fut, read, failed, *args):
@@ -256,15 +248,6 @@
         return None
 
 
-def _told(reason):
-    exc = reason.value
-    if reason.check(CancelledError, defer.TimeoutError):
-        return "no answer in time"
-    if isinstance(exc, ResponseFailed) and exc.reasons:
-        exc = exc.reasons[-1].value
-    return str(exc) or type(exc).__name__
-
-
 def _refused_watch(code):
     if code == 410:
         return Expired(ErrorKind.NOT_FOUND, "the version to watch from is too old")
@@ -272,10 +255,10 @@
 
 
 def _unexpected(reply):
-    told = reply.value.get("error", "") if isinstance(reply.value, dict) else ""
+    why = reply.value.get("error", "") if isinstance(reply.value, dict) else ""
     kind = ErrorKind.BAD_INPUT if reply.code == 400 else ErrorKind.UNAVAILABLE
     return Failure(
-        kind, f"the platform answered {reply.code} {told}".strip(), "try again later"
+        kind, f"the platform answered {reply.code} {why}".strip(), "try again later"
     )
 
 
--- a/kumquatshift/adapters/watcher.py
+++ b/kumquatshift/adapters/watcher.py
@@ -66,6 +66,7 @@
         self._list = None
         self._watch = None
         self._timer = None
+        self._failing = False
 
     @property
     def held(self) -> bool:
@@ -141,6 +142,9 @@
             return
         self._expect_event()
         self._backoff.reset()
+        if self._failing:
+            log.info("the watch works again")
+        self._failing = False
         self._since = max(self._since, event.version)
         if not isinstance(event, Progress):
             self._on_object(event)
@@ -154,9 +158,10 @@
         self._retry(failure)
 
     def _retry(self, failure):
-        wait_s = self._backoff.next_s()
-        log.warning("{}; trying again in {:.1f} s", failure.message, wait_s)
-        self._set_timer(wait_s, self._open)
+        if not self._failing:
+            log.warning("{}; trying again until it works", failure.message)
+        self._failing = True
+        self._set_timer(self._backoff.next_s(), self._open)
 
     def _expect_event(self):
         self._set_timer(WATCH_SILENCE_S, self._on_silence)
--- a/kumquatshift/cli/entries.py
+++ b/kumquatshift/cli/entries.py
@@ -5,10 +5,9 @@
 
 from returns import result
 from returns.result import Success
-from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.web.client import Agent, HTTPConnectionPool
 
+from ..adapters.http import limit, new_client, told
 from ..errors import ErrorKind, Failure
 from .constants import ADMIN_PORT, CALL_TIMEOUT_S
 
@@ -29,10 +28,7 @@
     def __init__(self, reactor, port: int = ADMIN_PORT):
         self._reactor = reactor
         self._port = port
-        pool = HTTPConnectionPool(reactor, persistent=False)
-        self._http = HTTPClient(
-            Agent(reactor, connectTimeout=CALL_TIMEOUT_S, pool=pool)
-        )
+        self._http = new_client(reactor, CALL_TIMEOUT_S)
 
     def versions(self, entry: Entry) -> Deferred:
         """Give ``Result[Mapping[str, int], Failure]``, versions in force."""
@@ -46,7 +42,7 @@
         url = f"http://{entry.address}:{self._port}{path}"
         fut = self._http.get(url, reactor=self._reactor)
         fut.addCallback(_read)
-        fut.addTimeout(CALL_TIMEOUT_S, self._reactor)
+        limit(fut, CALL_TIMEOUT_S, self._reactor)
         return fut.addErrback(_failed, entry, url)
 
 
@@ -70,7 +66,6 @@
 
 
 def _failed(reason, entry, url):
-    told = str(reason.value) or type(reason.value).__name__
-    text = f"entry {entry.name} is out of reach at {url}: {told}"
+    text = f"entry {entry.name} is out of reach at {url}: {told(reason)}"
     remedy = "see whether its VM runs, and whether its domain is cut off"
     return result.Failure(Failure(ErrorKind.UNAVAILABLE, text, remedy))
--- a/kumquatshift/cli/files.py
+++ b/kumquatshift/cli/files.py
@@ -62,7 +62,7 @@
     With a ``kind`` the file may hold objects of that kind only.
     """
     try:
-        raws = _read_json(text) if text.lstrip()[:1] in "{[" else _read_ini(text)
+        raws = _read_json(text) if text.lstrip()[:1] == "{" else _read_ini(text)
     except (ValueError, configparser.Error) as exc:
         told = " ".join(str(exc).split())
         failure = Failure(ErrorKind.BAD_INPUT, told, "mend the file; nothing changed")
@@ -118,7 +118,7 @@
 
 def _read_json(text):
     value = json.loads(text)
-    items = value.get("items") if isinstance(value, Mapping) else value
+    items = value.get("items")
     if not isinstance(items, list):
         raise ValueError('the JSON value must be {"items": [{"kind", "name", "body"}]}')
     return [_raw_of(item) for item in items]
