--- a/kumquatshift/cli/files.py
+++ b/kumquatshift/cli/files.py
@@ -139,6 +139,9 @@
         hint = nearest(raw.kind, list(Kind))
         allowed = f"no such kind of object; {hint}; write [KIND NAME]"
         return [Mistake(about, "kind", shown(raw.kind), allowed)]
+    if not raw.name:
+        allowed = "allowed: a name after the kind; write [KIND NAME]"
+        return [Mistake(about, "name", "nothing", allowed)]
     if kind is not None and raw.kind != kind:
         allowed = f"allowed: {kind}; for all kinds use: kumquat-ctl apply FILE"
         return [Mistake(about, "kind", shown(raw.kind), allowed)]
--- a/kumquatshift/fields.py
+++ b/kumquatshift/fields.py
@@ -174,7 +174,7 @@
 
 def nearest(word: str, known: Iterable[str]) -> str:
     """Return a hint that names the known word nearest to a mistyped one."""
-    known = sorted(known)
+    known = sorted(str(one) for one in known)
     close = get_close_matches(word, known, n=1)
     if close:
         return f"did you mean {close[0]!r}?"
--- /dev/null
+++ b/tests/features/ctl.feature
@@ -0,0 +1,280 @@
+Feature: Operators drive a site with kumquat-ctl
+
+  Scenario Outline: A line that fire would take loosely is refused: <line>
+    Given a site with the demo's objects
+    When kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with USAGE and the error says "<told>"
+    And the platform is unchanged
+
+    Examples:
+      | line                               | told                                   |
+      | target retire t1 --wiat 5          | Could not consume arg: --wiat          |
+      | target retire t1 t2                | Could not consume arg: 't2'            |
+      | target retire                      | no value for the required argument     |
+      | target retire t1 --wait            | --wait: nothing after it               |
+      | target retire t1 --wait soon       | --wait: found 'soon'; allowed: seconds |
+      | target retire t1 --wait=-1         | --wait: found '-1'; allowed: seconds   |
+      | target retire t1 --wait nan        | --wait: found 'nan'; allowed: seconds  |
+      | target retire t1 --json=maybe      | --json: found 'maybe'                  |
+      | target retire t1 -- --interactive  | --: no arguments of that kind          |
+      | target retire t1 list              | Could not consume arg: list            |
+      | target retire --name               | --name: nothing after it               |
+      | target retyre t1                   | Could not consume arg: 'retyre'        |
+      | target                             | target: a command is missing           |
+      | tarket retire t1                   | Could not consume arg: 'tarket'        |
+      | domain retire north-a              | Could not consume arg: retire          |
+      | --settings                         | --settings: nothing after it           |
+
+  Scenario Outline: Help and lists are shown: <line>
+    Given a site with the demo's objects
+    When kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with SUCCESS and the output says "<told>"
+
+    Examples:
+      | line                     | told                                        |
+      | --help                   | Failure domains, which operators take out   |
+      | domain --help            | Take a domain out                           |
+      | domain out --help        | seconds to wait until the change is in force |
+      | profile list             | till-feed                                   |
+      | service list             | 127.0.9.1                                   |
+      | target list              | 127.0.2.11                                  |
+      | domain list --json       | "north-d"                                   |
+      | target show t1           | service = tills                             |
+      | target show t1 --json    | "service": "tills"                          |
+      | profile show 1_000       | idle_timeout_s = 600                        |
+
+  Scenario Outline: A name that is unknown has its exit status: <line>
+    Given a site with the demo's objects
+    When kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with <status> and the error says "<told>"
+    And the platform is unchanged
+
+    Examples:
+      | line                 | status    | told                                         |
+      | target retire t99    | NOT_FOUND | target/t99 does not exist                    |
+      | domain out north-e   | NOT_FOUND | see the names with: kumquat-ctl domain list  |
+      | profile show gone    | NOT_FOUND | it was removed as version                    |
+      | profile remove web   | REFUSED   | service/web still name it                    |
+      | dump e9              | NOT_FOUND | no entry 'e9' is listed                      |
+      | apply no/such/file   | USAGE     | No such file                                 |
+
+  Scenario Outline: A file with a mistake writes nothing: <mistake>
+    Given a site with the demo's objects
+    And a file with a good new profile and then <mistake>
+    When the operator applies the file
+    Then kumquat-ctl ends with USAGE and the error says "<told>"
+    And the platform is unchanged
+
+    Examples:
+      | mistake                                          | told                                       |
+      | [target t1] slots = many                         | target/t1: slots: found 'many'; allowed: a whole number |
+      | [target new] service = tills                     | target/new: domain: found nothing          |
+      | [target new] service = tils                      | target/new: host: found nothing            |
+      | [tarket t1] slots = 1                            | did you mean 'target'?                     |
+      | [target] slots = 1                               | write [KIND NAME]                          |
+      | [domain north-e] state = away                    | domain/north-e: state: found 'away'; allowed: in, out |
+      | [service web] prot = 1                           | service/web: prot: found '1'; no such field |
+      | [profile slow] request_timeout_s = inf           | profile/slow: request_timeout_s: found inf |
+      | [domain north-a] version = 0                     | domain/north-a: version: found 0           |
+      | [profile good] mode = stream                     | already exists                             |
+      | [domain north-a] state in                        | contains parsing errors                    |
+      | nonsense                                         | file                                       |
+
+  Scenario: A file that misses a name another object needs writes nothing
+    Given a site with the demo's objects
+    And a file with a good new profile and then a target of service "till"
+    When the operator applies the file
+    Then kumquat-ctl ends with USAGE and the error says "did you mean 'tills'?"
+    And the platform is unchanged
+
+  Scenario: Applying, comparing and a dry run
+    Given an empty site
+    When kumquat-ctl runs "apply extras/demo/objects.ini --dry-run"
+    Then kumquat-ctl ends with SUCCESS and the output says "would be created: target/t1"
+    And the platform is unchanged
+    When kumquat-ctl runs "apply extras/demo/objects.ini"
+    Then kumquat-ctl ends with SUCCESS and the platform holds 23 objects
+    When kumquat-ctl runs "diff extras/demo/objects.ini"
+    Then kumquat-ctl ends with SUCCESS and the output says "nothing differs"
+    When kumquat-ctl runs "apply extras/demo/objects.ini"
+    Then kumquat-ctl ends with SUCCESS and the platform stands at version 23
+
+  Scenario: Applying a file again brings back nothing that operators took out
+    Given a site with the demo's objects
+    When kumquat-ctl runs "target retire t1"
+    And kumquat-ctl runs "domain out north-b"
+    And kumquat-ctl runs "apply extras/demo/objects.ini"
+    Then target "t1" is retired and domain "north-b" is out
+    When kumquat-ctl runs "target admit t1"
+    And kumquat-ctl runs "domain in north-b"
+    Then target "t1" is admitted and domain "north-b" is in
+
+  Scenario: What show prints can be edited and applied, but not over another's change
+    Given a site with the demo's objects
+    When target "t1" is shown and edited, another sets its slots to 5, and it is applied
+    Then kumquat-ctl ends with CONFLICT and the error says "slots: 5 -> 3"
+    And target "t1" has 5 slots
+    When target "t1" is shown, edited and applied
+    Then kumquat-ctl ends with SUCCESS
+    And target "t1" has 3 slots
+
+  Scenario Outline: Two operators race, <order>: <anna> / <bert>
+    Given a site with the demo's objects
+    When anna runs "<anna>" and bert runs "<bert>" in the order <order>
+    Then anna ends with <anna's> and bert with <bert's>
+    And "<left>" stands, and the loser is told "<told>"
+
+    Examples: One changes the state, one the slots
+      | anna             | bert                | order   | anna's   | bert's   | left               | told                     |
+      | target retire t1 | set slots of t1 to 5 | a a b b | SUCCESS  | SUCCESS  | t1 retired 5 | - |
+      | target retire t1 | set slots of t1 to 5 | a b a b | SUCCESS  | CONFLICT | t1 retired 2       | state: admitted -> retired |
+      | target retire t1 | set slots of t1 to 5 | a b b a | CONFLICT | SUCCESS  | t1 admitted 5      | slots: 2 -> 5            |
+      | target retire t1 | set slots of t1 to 5 | b a a b | SUCCESS  | CONFLICT | t1 retired 2       | state: admitted -> retired |
+      | target retire t1 | set slots of t1 to 5 | b a b a | CONFLICT | SUCCESS  | t1 admitted 5      | slots: 2 -> 5            |
+      | target retire t1 | set slots of t1 to 5 | b b a a | SUCCESS  | SUCCESS  | t1 retired 5 | - |
+
+    Examples: One removes what the other changes
+      | anna             | bert                | order   | anna's   | bert's    | left               | told                    |
+      | target remove t1 | target retire t1    | a a b b | SUCCESS  | NOT_FOUND | t1 removed         | does not exist          |
+      | target remove t1 | target retire t1    | a b a b | SUCCESS  | CONFLICT  | t1 removed         | it was removed by another |
+      | target remove t1 | target retire t1    | a b b a | CONFLICT | SUCCESS   | t1 retired 2       | state: admitted -> retired |
+      | target remove t1 | target retire t1    | b a a b | SUCCESS  | CONFLICT  | t1 removed         | it was removed by another |
+      | target remove t1 | target retire t1    | b a b a | CONFLICT | SUCCESS   | t1 retired 2       | state: admitted -> retired |
+      | target remove t1 | target retire t1    | b b a a | SUCCESS  | SUCCESS   | t1 removed | - |
+
+    Examples: Both create, or both remove
+      | anna             | bert                 | order   | anna's   | bert's    | left               | told                      |
+      | create t50 with 3 | create t50 with 4   | a b a b | SUCCESS  | CONFLICT  | t50 admitted 3     | slots = 3                 |
+      | create t50 with 3 | create t50 with 4   | a b b a | CONFLICT | SUCCESS   | t50 admitted 4     | slots = 4                 |
+      | create t50 with 3 | create t50 with 4   | a a b b | SUCCESS  | SUCCESS   | t50 admitted 4 | - |
+      | target remove t1 | target remove t1     | a b a b | SUCCESS  | CONFLICT  | t1 removed         | it was removed by another |
+      | target remove t1 | target remove t1     | a b b a | CONFLICT | SUCCESS   | t1 removed         | it was removed by another |
+
+  Scenario Outline: After a lost answer the operator knows: <fault> on <line>
+    Given a site with the demo's objects
+    And the platform has the fault <fault>
+    When kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with <status> and one write took effect
+    And the output says "<told>"
+
+    Examples:
+      | fault                                    | line             | status  | told                  |
+      | {"lose_answers": 1}                      | target retire t1 | SUCCESS | an answer was lost    |
+      | {"lose_requests": 1}                     | target retire t1 | SUCCESS | an answer was lost    |
+      | {"lose_answers": 1}                      | target remove t1 | SUCCESS | an answer was lost    |
+      | {"lose_requests": 1}                     | target remove t1 | SUCCESS | an answer was lost    |
+      | {"lose_requests": 2, "lose_answers": 1}  | target retire t1 | SUCCESS | an answer was lost    |
+      | {"lose_requests": 1, "stale_versions": 1} | target retire t1 | SUCCESS | an answer was lost   |
+      | {"lose_answers": 1, "stale_versions": 2} | target retire t1 | SUCCESS | an answer was lost    |
+
+  Scenario Outline: Another's change right after a lost answer is told apart: <effect>
+    Given a site with the demo's objects
+    When anna's write of t1 loses its answer <effect> taking effect and bert retires t1
+    Then kumquat-ctl ends with CONFLICT and the error says "<told>"
+    And t1 is retired and has <slots> slots
+
+    Examples:
+      | effect | told                                  | slots |
+      | after  | your write took effect before it, as  | 5     |
+      | before | your write did not take effect        | 2     |
+
+  Scenario: An outage right after the write leaves the outcome unknown, with the way to tell
+    Given a site with the demo's objects
+    When anna's write of t1 loses its answer and the platform goes out
+    Then kumquat-ctl ends with ERROR and the error says "whether the write took effect is unknown"
+    And the error names the operation that the platform holds
+
+  Scenario Outline: Nothing is done while the platform is out: <line>
+    Given a site with the demo's objects
+    And the platform has the fault {"outage": true}
+    When kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with UNAVAILABLE and the error says "the platform answered 503"
+    And the platform is unchanged
+
+    Examples:
+      | line                          |
+      | target retire t1              |
+      | apply extras/demo/objects.ini |
+      | service list                  |
+      | status                        |
+
+  Scenario: A failure midway says which objects were written and which were not
+    Given an empty site
+    When the platform goes out after 5 writes of "apply extras/demo/objects.ini"
+    Then the error names 5 written objects, 1 perhaps and 17 not
+    And kumquat-ctl ends with ERROR
+    When the platform is back and kumquat-ctl runs "apply extras/demo/objects.ini"
+    Then kumquat-ctl ends with SUCCESS and the platform holds 23 objects
+
+  Scenario Outline: Waiting ends when all entries in reach have it in force: <entries>
+    Given a site with the demo's objects and the entries <entries>
+    When kumquat-ctl runs "target retire t1 --wait <limit>"
+    Then kumquat-ctl ends with <status> and the output says "<told>"
+
+    Examples:
+      | entries                      | limit | status      | told                                      |
+      | follows, follows             | 5     | SUCCESS     | in force at 2 entries                     |
+      | follows, down                | 5     | SUCCESS     | out of reach: e2                          |
+      | follows, stuck               | 0.6   | TIMEOUT     | not in force: e2 holds version            |
+      | stuck, down                  | 0.6   | TIMEOUT     | out of reach: e2                          |
+      | down, down                   | 5     | UNAVAILABLE | no entry is in reach                      |
+      | follows, silent              | 0.6   | SUCCESS     | out of reach: e2                          |
+
+  Scenario: Waiting for what stands already
+    Given a site with the demo's objects and the entries follows, follows
+    When kumquat-ctl runs "wait 5"
+    Then kumquat-ctl ends with SUCCESS and the output says "in force at 2 entries"
+
+  Scenario: The status shows domains, entries, targets, shares and what is late
+    Given a site with the demo's objects and the entries follows, stuck, down
+    When kumquat-ctl runs "target retire t1"
+    And kumquat-ctl runs "status"
+    Then kumquat-ctl ends with SUCCESS and the output says "late: e2 holds version"
+    And the output has the row "north-a in 1 1 4"
+    And the output has the row "e3 north-c 127.11.1.3 no answer - - -"
+    And the output has the row "t1 tills north-a retired 6 60 0.750"
+    When kumquat-ctl runs "status --json"
+    Then the JSON of the status has 4 domains, 3 entries, 13 targets and 1 late version
+
+  Scenario: The state of an entry is dumped as it gives it
+    Given a site with the demo's objects and the entries follows, follows
+    When kumquat-ctl runs "dump e1"
+    Then kumquat-ctl ends with SUCCESS and the output says ""incarnation": 1"
+
+  Scenario: With the platform out, entries that the settings name are asked
+    Given a site with the demo's objects and the entries follows, follows
+    And the platform has the fault {"outage": true}
+    When kumquat-ctl runs "status"
+    Then kumquat-ctl ends with UNAVAILABLE and the output says "127.11.1.1"
+
+  Scenario Outline: Wrong settings are listed with what is allowed: <line>
+    Given an empty site
+    When kumquat-ctl runs "domain list" with the settings <line>
+    Then kumquat-ctl ends with BAD_SETTINGS and the error says "<told>"
+
+    Examples:
+      | line                                | told                                   |
+      | [ctl] platfrom = http://10.0.0.1    | did you mean 'platform'?               |
+      | [ctl] platform = 10.0.0.1:8400      | allowed: an HTTP address               |
+      | [ctl] admin_port = 0                | allowed: a whole number from 1 to      |
+      | [ctl] entries = e1                  | allowed: IPv4 addresses                |
+      | [ctl] ca = no/such/file             | allowed: a PEM file                    |
+      | [ctrl] platform = http://10.0.0.1   | no such section                        |
+
+  Scenario Outline: The program tells the shell its exit status: <line>
+    Given a site with the demo's objects
+    When the program is run by itself as "<line>"
+    Then it ends with <status>
+
+    Examples:
+      | line             | status |
+      | target retire t1 | 0      |
+      | target retyre t1 | 2      |
+      | target show t99  | 4      |
+      | --platform http://127.11.0.1:1 domain list | 6 |
+
+  Scenario: An interrupt lets the write in hand end, and says what was written
+    Given an empty site
+    And the platform has the fault {"latency_s": 0.2}
+    When the program is interrupted while it applies the demo's objects
+    Then it ends with 130 and names as written just what the platform holds
--- /dev/null
+++ b/tests/features/steps/ctl_steps.py
@@ -0,0 +1,391 @@
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, gatherResults
+
+from kumquatshift.cli.entries import EntryClient
+from kumquatshift.cli.execution import Executor
+from kumquatshift.cli.files import read_objects
+from kumquatshift.cli.parsing import parse
+from kumquatshift.codec import body_to_json, kind_of
+from kumquatshift.status import ExitStatus
+from tests.support.loopback import (
+    LoopbackSite,
+    Ran,
+    environment,
+    in_reactor,
+    run_ctl,
+)
+from tests.support.stepped import SteppedPlatform
+
+ROOT = Path(__file__).resolve().parents[3]
+DEMO = ROOT / "extras" / "demo" / "objects.ini"
+DOMAINS = ("north-a", "north-b", "north-c", "north-d")
+TARGET = "service = tills\ndomain = north-a\nhost = 127.0.2.{}\nport = 6080\nslots = {}"
+PATIENCE_S = 10
+
+
+def target_file(name, host, slots):
+    return f"[target {name}]\n" + TARGET.format(host, slots)
+
+
+def start(context):
+    context.site = LoopbackSite.start()
+    context.add_cleanup(context.site.stop)
+    context.settings = ""
+
+
+def spread(line):
+    """Turn a section written on one line into lines."""
+    head, bracket, rest = line.partition("] ")
+    return f"{head}]\n{rest}" if bracket else line
+
+
+def live(context, kind, name):
+    found = context.site.store.live((kind, name))
+    return found and found["body"]
+
+
+def await_that(condition):
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline, "it did not happen in time"
+        time.sleep(0.005)
+
+
+@given("an empty site")
+def step_empty(context):
+    start(context)
+    context.version = 0
+
+
+@given("a site with the demo's objects")
+def step_demo(context):
+    start(context)
+    store = context.site.store
+    for one in read_objects(DEMO.read_text(), None).unwrap():
+        key = (kind_of(one.body).value, one.body.name)
+        store.put(key, 0, "demo-1", body_to_json(one.body))
+    store.put(("profile", "1_000"), 0, "demo-2", {})
+    store.put(("profile", "gone"), 0, "demo-3", {})
+    store.delete(("profile", "gone"), store.version, "demo-4")
+    context.version = store.version
+
+
+@given("a site with the demo's objects and the entries {modes}")
+def step_demo_entries(context, modes):
+    step_demo(context)
+    rows = zip(("e1", "e2", "e3"), DOMAINS, modes.split(", "), strict=False)
+    context.site.add_entries(rows)
+    port = context.site.admin_port or 1
+    settings = f"[ctl]\nadmin_port = {port}\nentries = 127.11.1.1, 127.11.1.2\n"
+    context.settings = write_settings(context, settings)
+    run_ctl(context.site, "wait 0.1", context.settings)
+
+
+def write_settings(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name, "ctl.ini")
+    path.write_text(text)
+    return str(path)
+
+
+@when('kumquat-ctl runs "{line}"')
+def step_run(context, line):
+    context.ran = run_ctl(context.site, line, context.settings)
+
+
+@when('kumquat-ctl runs "{line}" with the settings {text}')
+def step_run_settings(context, line, text):
+    path = write_settings(context, spread(text))
+    in_site = context.site
+    context.ran = run_ctl(in_site, line, path)
+
+
+@given("a file with a good new profile and then {text}")
+def step_file(context, text):
+    if text == 'a target of service "till"':
+        text = target_file("new", 99, 2).replace("tills", "till")
+    context.file = f"[profile good]\nmode = stream\n\n{spread(text)}\n"
+
+
+@when("the operator applies the file")
+def step_apply_file(context):
+    context.ran = run_ctl(context.site, "apply -", stdin=context.file)
+
+
+@then("kumquat-ctl ends with {status:w}")
+def step_ended(context, status):
+    assert context.ran.status == ExitStatus[status], context.ran
+
+
+@then('kumquat-ctl ends with {status:w} and the error says "{told}"')
+def step_ended_error(context, status, told):
+    step_ended(context, status)
+    assert told in context.ran.err, context.ran.err
+
+
+@then('kumquat-ctl ends with {status:w} and the output says "{told}"')
+def step_ended_output(context, status, told):
+    step_ended(context, status)
+    step_output(context, told)
+
+
+@then('the output says "{told}"')
+def step_output(context, told):
+    assert told in context.ran.out, context.ran
+
+
+@then("the platform is unchanged")
+def step_unchanged(context):
+    assert context.site.store.version == context.version, context.site.store.changes
+
+
+@then("kumquat-ctl ends with SUCCESS and the platform holds {count:d} objects")
+def step_holds(context, count):
+    step_ended(context, "SUCCESS")
+    found = [obj for obj in context.site.store.objects.values() if not obj["deleted"]]
+    assert len(found) == count, found
+
+
+@then("kumquat-ctl ends with SUCCESS and the platform stands at version {version:d}")
+def step_stands(context, version):
+    step_ended(context, "SUCCESS")
+    assert context.site.store.version == version, context.site.store.version
+
+
+@then('target "t1" is {target:w} and domain "north-b" is {domain:w}')
+def step_states(context, target, domain):
+    assert live(context, "target", "t1")["state"] == target
+    assert live(context, "domain", "north-b")["state"] == domain
+
+
+@when('target "t1" is shown and edited, another sets its slots to 5, and it is applied')
+def step_show_race_apply(context):
+    text = run_ctl(context.site, "target show t1").out
+    run_ctl(context.site, "target apply -", stdin=target_file("t1", 1, 5))
+    edited = text.replace("slots = 2", "slots = 3")
+    context.ran = run_ctl(context.site, "apply -", stdin=edited)
+
+
+@when('target "t1" is shown, edited and applied')
+def step_show_apply(context):
+    text = run_ctl(context.site, "target show t1").out
+    edited = text.replace("slots = 5", "slots = 3")
+    context.ran = run_ctl(context.site, "apply -", stdin=edited)
+
+
+@then('target "t1" has {slots:d} slots')
+def step_slots(context, slots):
+    assert live(context, "target", "t1")["slots"] == slots
+
+
+def racer(context, user, line):
+    """Return a stepped platform, the running command, and its environment."""
+    made = re.match(r"(create|set slots of) (\w+) (?:with|to) (\d+)", line)
+    text = ""
+    if made:
+        host = 50 if made[1] == "create" else 1
+        line, text = "apply -", target_file(made[2], host, made[3])
+    env = environment(user, text)
+    platform = SteppedPlatform(context.site.client())
+    entry_client = EntryClient(reactor)
+    executor = Executor(platform, entry_client, reactor, env)
+    request = parse(line.split(), env).unwrap()
+    fut = Deferred.fromCoroutine(executor.run(request))
+    fut.addBoth(platform.finish)
+    return platform, fut, env
+
+
+@when('anna runs "{anna}" and bert runs "{bert}" in the order {order}')
+def step_race(context, anna, bert, order):
+    async def race():
+        racers = {"a": racer(context, "anna", anna), "b": racer(context, "bert", bert)}
+        for letter in order.split():
+            await racers[letter][0].step()
+        statuses = await gatherResults([fut for _, fut, _ in racers.values()])
+        envs = [env for _, _, env in racers.values()]
+        return [
+            Ran(int(status), env.stdout.getvalue(), env.stderr.getvalue())
+            for status, env in zip(statuses, envs, strict=True)
+        ]
+
+    context.raced = in_reactor(lambda: Deferred.fromCoroutine(race()))
+
+
+@then("anna ends with {anna:w} and bert with {bert:w}")
+def step_race_ends(context, anna, bert):
+    found = [ExitStatus(ran.status).name for ran in context.raced]
+    assert found == [anna, bert], (found, context.raced)
+
+
+@then('"{left}" stands, and the loser is told "{told}"')
+def step_race_left(context, left, told):
+    name, *wanted = left.split()
+    body = live(context, "target", name)
+    found = [body["state"], str(body["slots"])] if body else ["removed"]
+    assert found == wanted, found
+    losers = [ran for ran in context.raced if ran.status]
+    assert bool(losers) == (told != "-")
+    for loser in losers:
+        assert told in loser.err, loser.err
+        if loser.status == ExitStatus.CONFLICT:
+            other = "bert-" if loser is context.raced[0] else "anna-"
+            assert f"by operation {other}" in loser.err, loser.err
+
+
+@then("kumquat-ctl ends with {status:w} and one write took effect")
+def step_one_write(context, status):
+    step_ended(context, status)
+    assert context.site.store.version == context.version + 1
+
+
+def start_write(context):
+    """Start a write of t1's slots and return its environment and Deferred."""
+    env = environment("anna", target_file("t1", 1, 5))
+    platform, clock = context.site.client(), reactor
+    executor = Executor(platform, EntryClient(clock), clock, env)
+    request = parse(["apply", "-"], env).unwrap()
+    return env, Deferred.fromCoroutine(executor.run(request))
+
+
+def finish_write(context, env, fut):
+    status = in_reactor(lambda: fut)
+    context.ran = Ran(int(status), env.stdout.getvalue(), env.stderr.getvalue())
+
+
+def lost(context):
+    faults = context.site.server.api.faults
+    return not faults.lose_answers and not faults.lose_requests
+
+
+@when("anna's write of t1 loses its answer {effect} taking effect and bert retires t1")
+def step_lost_then_other(context, effect):
+    fault = "lose_answers" if effect == "after" else "lose_requests"
+    context.site.faults(**{fault: 1})
+    env, fut = in_reactor(lambda: [start_write(context)])[0]
+    await_that(lambda: lost(context))
+    store = context.site.store
+
+    def retire():
+        found = store.live(("target", "t1"))
+        body = {**found["body"], "state": "retired"}
+        store.put(("target", "t1"), found["version"], "bert-1", body)
+
+    in_reactor(retire)
+    finish_write(context, env, fut)
+
+
+@then("t1 is retired and has {slots:d} slots")
+def step_retired(context, slots):
+    body = live(context, "target", "t1")
+    assert (body["state"], body["slots"]) == ("retired", slots), body
+
+
+@when("anna's write of t1 loses its answer and the platform goes out")
+def step_lost_then_out(context):
+    context.site.faults(lose_answers=1)
+    env, fut = in_reactor(lambda: [start_write(context)])[0]
+    await_that(lambda: lost(context))
+    context.site.faults(outage=True)
+    finish_write(context, env, fut)
+
+
+@then("the error names the operation that the platform holds")
+def step_operation_named(context):
+    operation = context.site.store.live(("target", "t1"))["operation"]
+    assert operation.startswith("anna-") and operation in context.ran.err, context.ran
+
+
+@when('the platform goes out after {count:d} writes of "{line}"')
+def step_out_midway(context, count, line):
+    site = context.site
+    put = site.store.put
+
+    def put_then_out(*args):
+        obj = put(*args)
+        if site.store.version == count:
+            api = site.server.api
+            api.faults = api.faults.changed({"outage": True})
+        return obj
+
+    site.store.put = put_then_out
+    step_run(context, line)
+    site.store.put = put
+
+
+@then("the error names {a:d} written objects, {b:d} perhaps and {c:d} not")
+def step_named(context, a, b, c):
+    (line,) = [ln for ln in context.ran.err.splitlines() if ln.startswith("written")]
+    found = [len(part.split(": ")[1].split(", ")) for part in line.split("; ")]
+    assert found == [a, b, c], line
+
+
+@when('the platform is back and kumquat-ctl runs "{line}"')
+def step_back(context, line):
+    context.site.faults(outage=False)
+    step_run(context, line)
+
+
+@then('the output has the row "{row}"')
+def step_row(context, row):
+    rows = [" ".join(line.split()) for line in context.ran.out.splitlines()]
+    assert any(line.startswith(row) for line in rows), context.ran.out
+
+
+@then("the JSON of the status has 4 domains, 3 entries, 13 targets and 1 late version")
+def step_status_json(context):
+    value = json.loads(context.ran.out)
+    found = [len(value[key]) for key in ("domains", "entries", "targets", "late")]
+    assert found == [4, 3, 13, 1], found
+
+
+def program(context, line):
+    args = ["--platform", context.site.url, *line.split()]
+    return subprocess.Popen(
+        [sys.executable, "-m", "kumquatshift", "ctl", *args],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(ROOT), "USER": "anna"},
+    )
+
+
+@when('the program is run by itself as "{line}"')
+def step_program(context, line):
+    run = program(context, line)
+    out, err = run.communicate(timeout=PATIENCE_S)
+    context.ran = Ran(run.returncode, out, err)
+
+
+@then("it ends with {status:d}")
+def step_program_ends(context, status):
+    assert context.ran.status == status, context.ran
+
+
+@when("the program is interrupted while it applies the demo's objects")
+def step_interrupt(context):
+    run = program(context, "apply extras/demo/objects.ini")
+    await_that(lambda: context.site.store.version >= 3)
+    os.kill(run.pid, signal.SIGINT)
+    out, err = run.communicate(timeout=PATIENCE_S)
+    context.ran = Ran(run.returncode, out, err)
+
+
+@then("it ends with {status:d} and names as written just what the platform holds")
+def step_interrupted(context, status):
+    step_program_ends(context, status)
+    found = re.findall(r"^created (\S+)", context.ran.out, re.MULTILINE)
+    held = [f"{kind}/{name}" for kind, name in context.site.store.objects]
+    assert found == held and 3 <= len(held) < 23, (found, held)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -5,6 +5,7 @@
 import threading
 from dataclasses import dataclass, field
 
+from loguru import logger
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import CannotListenError
@@ -90,6 +91,7 @@
 
     @classmethod
     def start(cls, **settings):
+        logger.disable("kumquatshift.standins.platform")
         settings = PlatformSettings(
             address=PLATFORM_ADDRESS, port=0, vms_lag_s=0, **settings
         )
