--- /dev/null
+++ b/kumquatshift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and measurement: real callers against a running system."""
--- /dev/null
+++ b/kumquatshift/bench/report.py
@@ -0,0 +1,209 @@
+"""The result of a run: the figures, what must hold, and the printed table."""
+
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+
+from tabulate import tabulate
+
+from .settings import Load
+from .site import SiteView
+from .tally import Tally
+
+DOMAIN_OUT = "domain-out"
+PERCENTILES = (50.0, 99.0)
+
+
+@dataclass(frozen=True)
+class Imbalance:
+    """How unevenly work fell on the targets of one service.
+
+    ``max_to_mean`` is the largest count over the mean, and ``variation`` the
+    coefficient of variation; 1 and 0 are even.
+    """
+
+    service: str
+    max_to_mean: float
+    variation: float
+
+    @classmethod
+    def from_counts(cls, service, counts):
+        """Work it out from the count of each target."""
+        mean = sum(counts) / len(counts)
+        if not mean:
+            return cls(service, 1.0, 0.0)
+        variance = sum((count - mean) ** 2 for count in counts) / len(counts)
+        return cls(service, max(counts) / mean, variance**0.5 / mean)
+
+
+@dataclass(frozen=True)
+class Report:
+    """All figures of one run."""
+
+    sent: int
+    answered: int
+    refused: int
+    given_up: int
+    unknown: int
+    errors: dict[str, int]
+    wrong: int
+    lost: int
+    lost_in_domain_out: int
+    watches_opened: int
+    watches_not_opened: dict[str, int]
+    watches_broken: dict[str, int]
+    notifications: int
+    p50_ms: float
+    p99_ms: float
+    duplicates_run: int
+    overloads: int
+    packets_after_out: int
+    packets_after_out_all: int
+    imbalance: list[Imbalance] = field(default_factory=list)
+    targets_without_dump: list[str] = field(default_factory=list)
+
+    def broken_rules(self):
+        """Return what was seen of things that must not happen."""
+        surviving = sum(
+            count for cause, count in self.watches_broken.items() if cause != DOMAIN_OUT
+        )
+        seen = {
+            "wrong answers": self.wrong,
+            "requests of surviving domains lost": self.lost - self.lost_in_domain_out,
+            "watches of surviving domains broken": surviving,
+            "non-idempotent requests run more than once": self.duplicates_run,
+            "packets to a domain that was out": self.packets_after_out,
+            "targets whose dump could not be read": len(self.targets_without_dump),
+        }
+        broken = [f"{count} {what}" for what, count in seen.items() if count]
+        if not self.answered:
+            broken.append("no request was answered")
+        return broken
+
+    def as_mapping(self):
+        """Return the figures and the broken rules, ready for JSON."""
+        return {**asdict(self), "broken_rules": self.broken_rules()}
+
+    def table(self):
+        """Return the printed table."""
+        rows = [
+            ("requests sent", self.sent),
+            ("requests answered", self.answered),
+            ("refusals (came back later)", self.refused),
+            ("requests given up while refused", self.given_up),
+            ("requests with outcome unknown", self.unknown),
+            *((f"requests with {code}", n) for code, n in self.errors.items()),
+            ("requests lost, domain taken out", self.lost_in_domain_out),
+            ("requests lost, otherwise", self.lost - self.lost_in_domain_out),
+            ("wrong answers", self.wrong),
+            ("watches opened", self.watches_opened),
+            *((f"watches {why}", n) for why, n in self.watches_not_opened.items()),
+            *((f"watches broken, {why}", n) for why, n in self.watches_broken.items()),
+            ("notifications", self.notifications),
+            ("request time p50, ms", round(self.p50_ms, 1)),
+            ("request time p99, ms", round(self.p99_ms, 1)),
+            ("duplicates run", self.duplicates_run),
+            ("overloads at targets", self.overloads),
+            ("packets to domain while out", self.packets_after_out_all),
+            ("packets to domain out, after grace", self.packets_after_out),
+            *(
+                (
+                    f"imbalance of {item.service}, max/mean and variation",
+                    f"{item.max_to_mean:.2f} {item.variation:.2f}",
+                )
+                for item in self.imbalance
+            ),
+        ]
+        return tabulate(rows, headers=("measure", "value"))
+
+
+def make_report(tally: Tally, view: SiteView, dumps: dict, load: Load):
+    """Work out the report from what callers, platform and targets saw."""
+    return Report(
+        sent=tally.total("sent"),
+        answered=tally.total("answered"),
+        refused=tally.total("refused"),
+        given_up=tally.total("given-up"),
+        unknown=tally.total("unknown"),
+        errors=with_prefix(tally.counts, "error "),
+        wrong=len(tally.wrong),
+        lost=len(tally.lost),
+        lost_in_domain_out=count_lost_in_domain_out(tally, view, dumps, load),
+        watches_opened=tally.total("watches-opened"),
+        watches_not_opened=with_prefix(tally.counts, "watch-"),
+        watches_broken=dict(Counter(watch_cause(w, view) for w in tally.broken)),
+        notifications=tally.total("notifications"),
+        p50_ms=tally.percentile_ms(PERCENTILES[0]),
+        p99_ms=tally.percentile_ms(PERCENTILES[1]),
+        duplicates_run=count_duplicates(dumps.values(), load.seed),
+        overloads=sum(dump["counters"].get("overload", 0) for dump in dumps.values()),
+        packets_after_out=count_after_out(view, dumps, load.out_grace_s),
+        packets_after_out_all=count_after_out(view, dumps, 0.0),
+        imbalance=find_imbalance(dumps.values(), load.seed),
+        targets_without_dump=sorted(set(view.targets) - set(dumps)),
+    )
+
+
+def with_prefix(counts, prefix):
+    """Sum the counts whose name starts with ``prefix``, keyed by the rest."""
+    found = Counter()
+    for (name, _), count in counts.items():
+        if name.startswith(prefix):
+            found[name.removeprefix(prefix)] += count
+    return dict(found)
+
+
+def watch_cause(broken, view):
+    """Name why a watch broke; that its domain was out goes first."""
+    if view.was_out(broken.target, broken.last_heard_s, broken.broken_s):
+        return DOMAIN_OUT
+    return broken.cause
+
+
+def count_lost_in_domain_out(tally, view, dumps, load):
+    """Count lost requests that had reached a target whose domain was out."""
+    found = 0
+    for req in tally.lost:
+        until_s = req.sent_s + load.request_timeout_s
+        found += any(
+            (req.ident in dump["posts"] or req.ident in dump["gets"])
+            and view.was_out(name, req.sent_s, until_s)
+            for name, dump in dumps.items()
+        )
+    return found
+
+
+def count_duplicates(dumps, seed):
+    """Count runs beyond the first of this run's non-idempotent requests."""
+    runs = Counter()
+    for dump in dumps:
+        runs.update(of_this_run(dump["posts"], seed))
+    return sum(count - 1 for count in runs.values())
+
+
+def of_this_run(idents, seed):
+    """Return those of the counts by id that belong to the run with ``seed``."""
+    return {i: n for i, n in idents.items() if i.startswith(f"{seed}-")}
+
+
+def count_after_out(view, dumps, grace_s):
+    """Count packets that came to targets while their domain was out.
+
+    Those of the first ``grace_s`` seconds of each outage do not count.
+    """
+    return sum(
+        outage.since_s + grace_s < time_s < outage.until_s
+        for outage in view.outages
+        for name, dump in dumps.items()
+        if view.targets[name].domain == outage.domain
+        for time_s, _, _ in dump["arrivals"]
+    )
+
+
+def find_imbalance(dumps, seed):
+    """Return the imbalance of requests run at the targets of each service."""
+    counts = {}
+    for dump in dumps:
+        run = [of_this_run(dump[kind], seed) for kind in ("posts", "gets")]
+        total = sum(sum(idents.values()) for idents in run)
+        counts.setdefault(dump["service"], []).append(total)
+    return [Imbalance.from_counts(*item) for item in sorted(counts.items())]
--- /dev/null
+++ b/kumquatshift/bench/site.py
@@ -0,0 +1,101 @@
+"""What the platform and the targets say of the system under load."""
+
+import json
+from dataclasses import dataclass, field
+
+import treq
+
+from kumquatshift.engine.objects import DomainState, Kind
+
+TIMEOUT_S = 2.0
+ADMIN_PORT = 7300
+
+
+@dataclass
+class Outage:
+    """One time for which operators had a domain out, in seconds since the epoch.
+
+    ``until_s`` is the last moment at which the domain was seen to be out.
+    """
+
+    domain: str
+    since_s: float
+    until_s: float
+
+
+@dataclass(frozen=True)
+class KnownTarget:
+    """Where a target is; ``host`` has its admin port."""
+
+    name: str
+    service: str
+    domain: str
+    host: str
+
+
+@dataclass
+class SiteView:
+    """Targets and domains as the platform had them during the run."""
+
+    targets: dict[str, KnownTarget] = field(default_factory=dict)
+    outages: list[Outage] = field(default_factory=list)
+    out_now: dict[str, Outage] = field(default_factory=dict)
+    seen_s: float | None = None
+
+    def take_in(self, items, asked_s, answered_s):
+        """Merge the platform's list of objects, asked for at ``asked_s``."""
+        for item in items:
+            if item.get("deleted") or not item.get("body"):
+                continue
+            if item["kind"] == Kind.TARGET:
+                self._see_target(item["name"], item["body"])
+            elif item["kind"] == Kind.DOMAIN:
+                state = item["body"].get("state", DomainState.IN)
+                is_out = state == DomainState.OUT
+                self._see_domain(item["name"], is_out, asked_s, answered_s)
+        self.seen_s = asked_s
+
+    def _see_target(self, name, body):
+        self.targets[name] = KnownTarget(
+            name, body["service"], body["domain"], body["host"]
+        )
+
+    def _see_domain(self, name, is_out, asked_s, answered_s):
+        outage = self.out_now.get(name)
+        if not is_out:
+            self.out_now.pop(name, None)
+        elif outage is None:
+            outage = Outage(name, answered_s, asked_s)
+            self.out_now[name] = outage
+            self.outages.append(outage)
+        else:
+            outage.until_s = asked_s
+
+    def was_out(self, target, since_s, until_s):
+        """Tell whether the target's domain was out at any time in between."""
+        known = self.targets.get(target)
+        return known is not None and any(
+            outage.domain == known.domain
+            and outage.since_s <= until_s
+            and outage.until_s >= since_s
+            for outage in self.outages
+        )
+
+
+async def fetch_json(url, reactor):
+    """Fetch one JSON document; raise when the answer is not 200."""
+    response = await treq.get(url, timeout=TIMEOUT_S, persistent=False, reactor=reactor)
+    body = await treq.content(response)
+    if response.code != 200:
+        raise ConnectionError(f"{url} answered {response.code}")
+    return json.loads(body)
+
+
+async def fetch_objects(platform, reactor):
+    """Fetch all objects from the platform."""
+    return (await fetch_json(f"{platform}/v1/objects", reactor))["items"]
+
+
+async def fetch_dump(host, reactor):
+    """Fetch the dump of the process at ``host``."""
+    return await fetch_json(f"http://{host}:{ADMIN_PORT}/dump", reactor)
--- /dev/null
+++ b/kumquatshift/bench/tally.py
@@ -0,0 +1,67 @@
+"""What the callers saw, counted while they run."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+SHORTEST_US = 1
+LONGEST_US = 120_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+
+
+def latency_histogram():
+    """Return an empty histogram for times in microseconds."""
+    return HdrHistogram(SHORTEST_US, LONGEST_US, DIGITS)
+
+
+@dataclass(frozen=True)
+class LostRequest:
+    """A request that got no answer, and what the caller saw instead."""
+
+    ident: str
+    service: str
+    sent_s: float
+    cause: str
+
+
+@dataclass(frozen=True)
+class BrokenWatch:
+    """A watch that ended before its caller wanted it to."""
+
+    service: str
+    target: str
+    opened_s: float
+    last_heard_s: float
+    broken_s: float
+    cause: str
+
+
+@dataclass
+class Tally:
+    """Counts of one run, for all services together and for each one."""
+
+    counts: Counter = field(default_factory=Counter)
+    latency: HdrHistogram = field(default_factory=latency_histogram)
+    lost: list[LostRequest] = field(default_factory=list)
+    wrong: list[str] = field(default_factory=list)
+    broken: list[BrokenWatch] = field(default_factory=list)
+
+    def count(self, name, service):
+        """Add one to ``name``, for ``service``."""
+        self.counts[name, service] += 1
+
+    def total(self, name):
+        """Return the count of ``name`` over all services."""
+        return sum(n for (kind, _), n in self.counts.items() if kind == name)
+
+    def answered(self, service, took_s):
+        """Note a whole and right answer."""
+        self.count("answered", service)
+        self.latency.record_value(max(SHORTEST_US, round(took_s * US_PER_S)))
+
+    def percentile_ms(self, percentile):
+        """Return a percentile of the answered requests' times, in milliseconds."""
+        return self.latency.get_value_at_percentile(percentile) / US_PER_MS
--- /dev/null
+++ b/kumquatshift/standins/application.py
@@ -0,0 +1,185 @@
+"""The CoAP server of a target: an ordinary aiocoap site that knows no balancer."""
+
+import asyncio
+import json
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from aiocoap import CHANGED, CONTENT, SERVICE_UNAVAILABLE, Message
+from aiocoap.resource import ObservableResource, Resource, Site
+from twisted.internet import defer
+from twisted.internet.task import LoopingCall
+
+from .capacity import Capacity, CapacitySettings, OverloadError
+
+FEED_PERIOD_S = 1.0
+IDS_KEPT = 50_000
+BIG_BYTES = 4096
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class ApplicationSettings:
+    """What an application is told of itself."""
+
+    name: str
+    service: str
+    capacity: CapacitySettings = field(default_factory=CapacitySettings)
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]):
+        """Read ``name``, ``service`` and the settings of the capacity."""
+        return cls(cfg["name"], cfg["service"], CapacitySettings.from_config(cfg))
+
+
+class RunLog:
+    """How often each request id was run, for the latest ids only."""
+
+    def __init__(self, kept=IDS_KEPT):
+        self.kept = kept
+        self.runs = OrderedDict()
+
+    def add(self, ident):
+        """Count one run of ``ident``."""
+        self.runs[ident] = self.runs.get(ident, 0) + 1
+        self.runs.move_to_end(ident)
+        if len(self.runs) > self.kept:
+            self.runs.popitem(last=False)
+
+
+class Application:
+    """State behind the resources, and the site that callers reach."""
+
+    def __init__(self, settings: ApplicationSettings, clock):
+        self.settings = settings
+        self.capacity = Capacity(settings.capacity, clock)
+        self.posts = RunLog()
+        self.gets = RunLog()
+        self.feed = Feed(self)
+        self.ticker = LoopingCall(self.feed.advance)
+        self.ticker.clock = clock
+
+    def site(self):
+        """Return the aiocoap site with all resources."""
+        site = Site()
+        site.add_resource(["echo"], Echo(self))
+        site.add_resource(["work"], Work(self))
+        site.add_resource(["feed"], self.feed)
+        site.add_resource(["big"], Big(self))
+        return site
+
+    def start(self):
+        """Begin to notify watches."""
+        self.ticker.start(FEED_PERIOD_S, now=False)
+
+    def stop(self):
+        """Notify watches no more."""
+        if self.ticker.running:
+            self.ticker.stop()
+
+    def answer(self, **fields):
+        """Return an answer's payload: who answers, and ``fields``."""
+        names = {"target": self.settings.name, "service": self.settings.service}
+        return json.dumps({**names, **fields}).encode()
+
+    def refusal(self):
+        """Return the answer for work that was not run."""
+        return Message(
+            code=SERVICE_UNAVAILABLE,
+            payload=b"not run",
+            max_age=self.settings.capacity.retry_s,
+        )
+
+
+def query_of(req):
+    """Return the query of a request, ``a=b`` options as a mapping."""
+    return dict(part.partition("=")[::2] for part in req.opt.uri_query)
+
+
+def as_future(deferred):
+    """Return an asyncio future for a Deferred or a coroutine that awaits one."""
+    return defer.ensureDeferred(deferred).asFuture(asyncio.get_running_loop())
+
+
+class Echo(Resource):
+    """Answers the request's id at once, whatever the load."""
+
+    def __init__(self, app):
+        super().__init__()
+        self.app = app
+
+    async def render_get(self, req):
+        """Answer; doing it twice does no harm."""
+        ident = query_of(req).get("id", "")
+        self.app.gets.add(ident)
+        return Message(code=CONTENT, payload=self.app.answer(id=ident))
+
+    async def render_post(self, req):
+        """Count one run of the id, and answer."""
+        ident = query_of(req).get("id", "")
+        self.app.posts.add(ident)
+        return Message(code=CHANGED, payload=self.app.answer(id=ident))
+
+
+class Work(Echo):
+    """Answers after ``ms`` milliseconds in a slot, or refuses at once."""
+
+    async def render_get(self, req):
+        """Work, then answer."""
+        return await self._work(req, super().render_get)
+
+    async def render_post(self, req):
+        """Work, count one run of the id, and answer."""
+        return await self._work(req, super().render_post)
+
+    async def _work(self, req, render):
+        work_s = float(query_of(req).get("ms", 0)) / MS_PER_S
+        try:
+            await as_future(self.app.capacity.run(work_s))
+        except OverloadError:
+            return self.app.refusal()
+        return await render(req)
+
+
+class Feed(ObservableResource):
+    """Notifies its watches once a second."""
+
+    def __init__(self, app):
+        super().__init__()
+        self.app = app
+        self.number = 0
+
+    @property
+    def watches(self):
+        """How many watches are open."""
+        return len(self._observations)
+
+    def advance(self):
+        """Step to the next value and notify."""
+        self.number += 1
+        self.updated_state()
+
+    async def render_get(self, req):
+        """Answer with the present value."""
+        return Message(payload=self.app.answer(number=self.number))
+
+
+class Big(Resource):
+    """Answers so many bytes that they go block by block."""
+
+    def __init__(self, app):
+        super().__init__()
+        self.app = app
+
+    async def render_get(self, req):
+        """Answer with ``size`` bytes that are made from the id."""
+        query = query_of(req)
+        size = int(query.get("size", BIG_BYTES))
+        return Message(payload=big_payload(query.get("id", ""), size))
+
+
+def big_payload(ident, size):
+    """Return the ``size`` bytes that belong to ``ident``."""
+    line = f"{ident};".encode()
+    return (line * (size // len(line) + 1))[:size]
--- /dev/null
+++ b/kumquatshift/standins/spray.py
@@ -0,0 +1,85 @@
+"""How the fabric hands packets to entries: any packet to any ready entry."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from kumquatshift.engine.ports import Randomness
+
+REORDER_DELAY_S = 0.02
+
+
+@dataclass(frozen=True)
+class Faults:
+    """How likely it is that a packet is lost, delayed or doubled, each in [0, 1]."""
+
+    loss: float = 0.0
+    reorder: float = 0.0
+    duplicate: float = 0.0
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]):
+        """Read ``loss``, ``reorder`` and ``duplicate``; each is 0 when left out."""
+        return cls(
+            loss=float(cfg.get("loss", 0)),
+            reorder=float(cfg.get("reorder", 0)),
+            duplicate=float(cfg.get("duplicate", 0)),
+        )
+
+
+class Spray:
+    """Sends each packet to a random entry out of those that are ready.
+
+    ``send`` is called with the entry's host and the packet; ``clock`` delays
+    the packets that are to be overtaken. What happened is in ``counters``.
+    """
+
+    def __init__(
+        self,
+        entries: Mapping[str, str],
+        faults: Faults,
+        rng: Randomness,
+        clock,
+        send: Callable[[str, bytes], None],
+    ):
+        self.entries = dict(entries)
+        self.faults = faults
+        self.rng = rng
+        self.clock = clock
+        self.send = send
+        self.ready: tuple[str, ...] = ()
+        self.counters = Counter()
+
+    def set_ready(self, name, is_ready):
+        """Let the entry ``name`` take packets, or take none."""
+        others = [entry for entry in self.ready if entry != name]
+        self.ready = tuple(sorted([*others, name] if is_ready else others))
+
+    def pass_on(self, direction, packet):
+        """Send one packet of ``direction``, faults and all."""
+        self.counters[f"{direction}.received"] += 1
+        if self.rng.random() < self.faults.loss:
+            self.counters[f"{direction}.lost"] += 1
+            return
+        copies = 1
+        if self.rng.random() < self.faults.duplicate:
+            self.counters[f"{direction}.duplicated"] += 1
+            copies = 2
+        for _ in range(copies):
+            self._send_one(direction, packet)
+
+    def _send_one(self, direction, packet):
+        if self.rng.random() < self.faults.reorder:
+            self.counters[f"{direction}.delayed"] += 1
+            delay = REORDER_DELAY_S * self.rng.random()
+            self.clock.callLater(delay, self._send_now, direction, packet)
+            return
+        self._send_now(direction, packet)
+
+    def _send_now(self, direction, packet):
+        if not self.ready:
+            self.counters[f"{direction}.no-ready-entry"] += 1
+            return
+        name = self.ready[self.rng.randrange(len(self.ready))]
+        self.counters[f"{direction}.sent.{name}"] += 1
+        self.send(self.entries[name], packet)
