--- /dev/null
+++ b/extras/demo/run.py
@@ -0,0 +1,220 @@
+"""The demo: a whole site on loopback, under load, while operators change it.
+
+Starts the platform, nine entries in four failure domains, the fabric, the
+targets of two services and the load tool, each as a process of its own. While
+the load runs it retires a target, takes a domain out and brings it back, kills
+an entry and starts it again. It prints the load tool's table, and its exit
+status is 0 only if the load tool saw nothing that must not happen.
+"""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from pathlib import Path
+
+import fire
+import prepare
+from runner import Runner, wait_for
+
+DIRECTORY = Path("build/demo")
+TABLE = DIRECTORY / "bench.txt"
+FIGURES = DIRECTORY / "bench.json"
+BINARIES = Path(sys.executable).parent
+ADMIN_PORT = 7300
+READY_LIMIT_S = 20.0
+COMMAND_LIMIT_S = 15.0
+BENCH_LIMIT_S = 55.0
+WHOLE_LIMIT_S = 60.0
+DOWN_TIME_S = 3.0
+RETIRED_TARGET = "t7"
+DOMAIN_OUT = "north-b"
+KILLED_ENTRY = "e2"
+
+
+def fetch(url):
+    """Return the JSON document at ``url``, or None when there is none."""
+    try:
+        with urllib.request.urlopen(url, timeout=2) as response:
+            return json.load(response)
+    except (OSError, ValueError):
+        return None
+
+
+def is_ready(host, port=ADMIN_PORT):
+    """Tell whether the process at ``host`` says that it is ready."""
+    return fetch(f"http://{host}:{port}/ready") is not None
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(self, site, runner, entry, ctl):
+        self.site = site
+        self.runner = runner
+        self.entry_command = entry
+        self.ctl_command = ctl
+        self.began_s = time.monotonic()
+        self.meant_to_end = set()
+
+    def say(self, text):
+        """Tell the reader what is being done, with the time since the start."""
+        print(f"{time.monotonic() - self.began_s:5.1f} s  {text}", flush=True)
+
+    def start(self, name, command, output=None):
+        """Start one process with its settings file."""
+        settings = str(DIRECTORY / f"{name}.ini")
+        self.runner.start(name, [*command, settings], output)
+
+    def ctl(self, *args):
+        """Run `kumquat-ctl`; raise when it fails."""
+        self.say("kumquat-ctl " + " ".join(args))
+        command = [*self.ctl_command, "--settings", str(DIRECTORY / "ctl.ini"), *args]
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=COMMAND_LIMIT_S
+        )
+        if done.returncode:
+            raise RuntimeError(f"kumquat-ctl failed: {done.stdout}{done.stderr}")
+
+    def start_site(self):
+        """Start all processes but the load, and wait until all are ready."""
+        standin = str(BINARIES / "kumquat-standin")
+        platform = self.site["platform"]
+        self.say("start the platform")
+        self.start("platform", [standin, "platform"])
+        wait_for(
+            lambda: is_ready(platform["address"], platform["port"]),
+            READY_LIMIT_S,
+            "the platform",
+        )
+        self.ctl("objects", "apply", str(DIRECTORY / "objects.ini"))
+        self.say("start fabric, targets and entries")
+        self.start("fabric", [standin, "fabric"])
+        for name in self.site["targets"]:
+            self.start(name, [standin, "target"])
+        for name in self.site["entries"]:
+            self.start(name, self.entry_command)
+        self.wait_ready()
+
+    def wait_ready(self):
+        """Wait until all targets and entries take traffic, and are configured."""
+        for name, text in self.site["targets"].items():
+            host = text.split()[-1]
+            wait_for(lambda host=host: is_ready(host), READY_LIMIT_S, name)
+        wait_for(
+            lambda: self.ready_entries() == set(self.site["entries"]),
+            READY_LIMIT_S,
+            "all entries to be ready",
+        )
+        wait_for(self.is_configured, READY_LIMIT_S, "all entries to be configured")
+
+    def ready_entries(self):
+        """Return the names of the entries that the fabric finds ready."""
+        dump = fetch(f"http://{self.site['fabric']['address']}:{ADMIN_PORT}/dump")
+        return set(dump["ready"]) if dump else set()
+
+    def is_configured(self):
+        """Tell whether every entry has every object in its present version."""
+        platform = self.site["platform"]
+        url = f"http://{platform['address']}:{platform['port']}/v1/objects"
+        wanted = {
+            f"{item['kind']}/{item['name']}": item["version"]
+            for item in fetch(url)["items"]
+        }
+        hosts = [text.split()[-1] for text in self.site["entries"].values()]
+        found = [fetch(f"http://{host}:{ADMIN_PORT}/versions") for host in hosts]
+        return all(versions == wanted for versions in found)
+
+    def run_load(self):
+        """Run the load, and change the site meanwhile; return the exit status."""
+        self.say("start the load")
+        command = [str(BINARIES / "kumquat-bench"), f"--json={FIGURES}"]
+        self.meant_to_end.add("bench")
+        self.start("bench", command, TABLE)
+        for delay_s, change in self.changes():
+            time.sleep(delay_s)
+            change()
+        status = self.runner.wait("bench", BENCH_LIMIT_S)
+        self.say(f"the load tool ended with {status}")
+        return status
+
+    def changes(self):
+        """Return the changes of the demo, each with the pause before it."""
+        return [
+            (4, lambda: self.ctl("target", "retire", RETIRED_TARGET)),
+            (3, lambda: self.ctl("domain", "out", DOMAIN_OUT, "--wait")),
+            (10, lambda: self.ctl("domain", "in", DOMAIN_OUT, "--wait")),
+            (2, lambda: self.kill(KILLED_ENTRY)),
+            (DOWN_TIME_S, lambda: self.restart(KILLED_ENTRY)),
+        ]
+
+    def kill(self, name):
+        """Kill one entry, by its id."""
+        self.say(f"kill {name}, process {self.runner.runs[name].pid}")
+        self.runner.signal(name, signal.SIGKILL)
+        self.runner.wait(name, COMMAND_LIMIT_S)
+
+    def restart(self, name):
+        """Start a killed entry again."""
+        self.say(f"start {name} again")
+        self.start(name, self.entry_command)
+
+    def died(self):
+        """Return the processes that ended though they should not have."""
+        return [name for name in self.runner.ended() if name not in self.meant_to_end]
+
+
+def interrupt(signum, frame):
+    """Treat a request to end like Ctrl-C, so that all processes are ended."""
+    raise KeyboardInterrupt
+
+
+def run_demo(entry="", ctl="", block=prepare.BLOCK):
+    """Run the demo; ENTRY and CTL stand in for the two programs when given.
+
+    All its addresses are loopback ones, whose second byte is BLOCK.
+    """
+    signal.signal(signal.SIGTERM, interrupt)
+    preparation = prepare.Preparation(block, DIRECTORY)
+    preparation.write_all()
+    for path in (TABLE, FIGURES):
+        path.unlink(missing_ok=True)
+    entry_command = entry.split() or [str(BINARIES / "kumquat-entry")]
+    ctl_command = ctl.split() or [str(BINARIES / "kumquat-ctl")]
+    with open(DIRECTORY / "demo.log", "w", encoding="utf-8") as log:
+        runner = Runner(log)
+        demo = Demo(preparation.site, runner, entry_command, ctl_command)
+        try:
+            demo.start_site()
+            status = demo.run_load()
+            failures = [f"{name} died" for name in demo.died()]
+            if status:
+                failures.append(f"the load tool's exit status was {status}")
+        except (RuntimeError, TimeoutError, subprocess.TimeoutExpired) as exc:
+            failures = [str(exc)]
+        except KeyboardInterrupt:
+            failures = ["interrupted"]
+        finally:
+            runner.stop_all()
+        return conclude(demo, failures, log)
+
+
+def conclude(demo, failures, log):
+    """Print the table and what failed; return the exit status."""
+    took_s = time.monotonic() - demo.began_s
+    if took_s > WHOLE_LIMIT_S:
+        failures.append(f"took {took_s:.0f} s, more than {WHOLE_LIMIT_S:g} s")
+    if TABLE.exists():
+        print(TABLE.read_text())
+    for failure in failures:
+        print(f"FAILED: {failure}")
+    if failures:
+        print(f"What the processes said is in {log.name}.")
+    demo.say("failed" if failures else "passed")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(run_demo, serialize=lambda _: None))
--- a/kumquatshift/bench/requests.py
+++ b/kumquatshift/bench/requests.py
@@ -37,7 +37,7 @@
     def answered_by(self, payload, size):
         """Tell whether ``payload`` is the whole answer to just this request."""
         if self.path is Path.BIG:
-            return payload == big_payload(f"{self.service}/{self.ident}", size)
+            return payload == big_payload(self.service, self.ident, size)
         try:
             answer = json.loads(payload)
         except ValueError:
--- a/kumquatshift/programs/standin.py
+++ b/kumquatshift/programs/standin.py
@@ -24,7 +24,7 @@
 
     def platform(self, file):
         """Run the platform's object API."""
-        return self._run("platform", "PlatformSettings", file)
+        return self._run("platform", "PlatformSettings", file, section="platform")
 
     def fabric(self, file):
         """Run the fabric that hands packets to entries."""
@@ -34,13 +34,14 @@
         """Run one target."""
         return self._run("target", "TargetSettings", file)
 
-    def _run(self, kind, settings_name, file):
+    def _run(self, kind, settings_name, file, section=None):
         start_log(self._env)
         reactor = install_reactor()
         module = import_module(f"kumquatshift.standins.{kind}")
         try:
             cfg = read_sections(file)
-            settings = getattr(module, settings_name).from_config(cfg)
+            part = cfg if section is None else cfg[section]
+            settings = getattr(module, settings_name).from_config(part)
         except (OSError, configparser.Error, KeyError, ValueError) as exc:
             logger.error("{}: {} cannot be used, {!r}.", kind, file, exc)
             return ExitStatus.BAD_SETTINGS
--- a/kumquatshift/standins/application.py
+++ b/kumquatshift/standins/application.py
@@ -176,10 +176,11 @@
         """Answer with ``size`` bytes that are made from the id."""
         query = query_of(req)
         size = int(query.get("size", BIG_BYTES))
-        return Message(payload=big_payload(query.get("id", ""), size))
+        ident = query.get("id", "")
+        return Message(payload=big_payload(self.app.settings.service, ident, size))
 
 
-def big_payload(ident, size):
-    """Return the ``size`` bytes that belong to ``ident``."""
-    line = f"{ident};".encode()
+def big_payload(service, ident, size):
+    """Return the ``size`` bytes that ``service`` answers to ``ident``."""
+    line = f"{service}/{ident};".encode()
     return (line * (size // len(line) + 1))[:size]
--- a/kumquatshift/standins/decapsulator.py
+++ b/kumquatshift/standins/decapsulator.py
@@ -120,4 +120,6 @@
 
     def _close(self, flow):
         del self.last_used_s[flow]
-        self.flows.pop(flow).transport.stopListening()
+        transport = self.flows.pop(flow).transport
+        if transport is not None:
+            transport.stopListening()
