--- a/extras/demo/prepare.py
+++ b/extras/demo/prepare.py
@@ -34,11 +34,6 @@
     return "\n".join(f"{name} = {value}" for name, value in mapping.items())
 
 
-def addresses(machines):
-    """Return the address of each machine, the last word of its line."""
-    return {name: text.split()[-1] for name, text in machines.items()}
-
-
 class Preparation:
     """Fills the templates with the site, into one directory."""
 
@@ -63,7 +58,12 @@
         self.write_platform()
         self.write_entries()
         self.write_targets()
-        entries = lines(addresses(self.site["entries"]))
+        entries = lines(
+            {
+                name: text.replace(" ", " entry ")
+                for name, text in self.site["entries"].items()
+            }
+        )
         services = lines(self.site["services"])
         self.write(
             "fabric",
@@ -76,17 +76,16 @@
         self.write(
             "bench", "bench", load=load, platform=self.platform, services=services
         )
-        self.write("ctl", "ctl", platform=self.platform, entries=entries)
 
     def write_platform(self):
         """Write the platform's file; it lists all VMs."""
         rows = []
         for name, text in self.site["entries"].items():
             domain, address = text.split()
-            rows.append(f"    {name} {domain} entry {address}")
+            rows.append(f"{name} = {domain} entry {address}")
         for name, text in self.site["targets"].items():
             domain, _, address = text.split()
-            rows.append(f"    {name} {domain} target {address}")
+            rows.append(f"{name} = {domain} target {address}")
         self.write("platform", "platform", **self.site["platform"], vms="\n".join(rows))
 
     def write_entries(self):
@@ -116,6 +115,7 @@
                 service=service,
                 address=address,
                 fabric=self.site["fabric"]["address"],
+                listener=self.site["services"][service],
             )
 
 
--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -29,6 +29,7 @@
 BENCH_LIMIT_S = 55.0
 WHOLE_LIMIT_S = 60.0
 DOWN_TIME_S = 3.0
+WAIT = "--wait=10"
 RETIRED_TARGET = "t7"
 DOMAIN_OUT = "north-b"
 KILLED_ENTRY = "e2"
@@ -71,7 +72,9 @@
     def ctl(self, *args):
         """Run `kumquat-ctl`; raise when it fails."""
         self.say("kumquat-ctl " + " ".join(args))
-        command = [*self.ctl_command, "--settings", str(DIRECTORY / "ctl.ini"), *args]
+        platform = self.site["platform"]
+        url = f"http://{platform['address']}:{platform['port']}"
+        command = [*self.ctl_command, "--platform", url, *args]
         done = subprocess.run(
             command, capture_output=True, text=True, timeout=COMMAND_LIMIT_S
         )
@@ -89,7 +92,7 @@
             READY_LIMIT_S,
             "the platform",
         )
-        self.ctl("objects", "apply", str(DIRECTORY / "objects.ini"))
+        self.ctl("apply", str(DIRECTORY / "objects.ini"))
         self.say("start fabric, targets and entries")
         self.start("fabric", [standin, "fabric"])
         for name in self.site["targets"]:
@@ -144,8 +147,8 @@
         """Return the changes of the demo, each with the pause before it."""
         return [
             (4, lambda: self.ctl("target", "retire", RETIRED_TARGET)),
-            (3, lambda: self.ctl("domain", "out", DOMAIN_OUT, "--wait")),
-            (10, lambda: self.ctl("domain", "in", DOMAIN_OUT, "--wait")),
+            (3, lambda: self.ctl("domain", "out", DOMAIN_OUT, WAIT)),
+            (10, lambda: self.ctl("domain", "in", DOMAIN_OUT, WAIT)),
             (2, lambda: self.kill(KILLED_ENTRY)),
             (DOWN_TIME_S, lambda: self.restart(KILLED_ENTRY)),
         ]
--- a/kumquatshift/bench/settings.py
+++ b/kumquatshift/bench/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
 
+from kumquatshift.standins.fabric import UDP, ListenAddress
 from kumquatshift.standins.packets import Endpoint
 
 
@@ -53,8 +54,8 @@
             platform=cfg["platform"]["url"].rstrip("/"),
             load=Load.from_config(cfg["bench"]),
             services={
-                name: Endpoint.from_text(text.removeprefix("udp "))
+                name: ListenAddress.from_text(text).endpoint
                 for name, text in cfg["services"].items()
-                if text.startswith("udp ")
+                if ListenAddress.from_text(text).protocol == UDP
             },
         )
--- a/kumquatshift/bench/site.py
+++ b/kumquatshift/bench/site.py
@@ -1,6 +1,7 @@
 """What the platform and the targets say of the system under load."""
 
 import json
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 import treq
@@ -35,8 +36,9 @@
 
 @dataclass
 class SiteView:
-    """Targets and domains as the platform had them during the run."""
+    """Targets of ``services`` and domains, as the platform had them in the run."""
 
+    services: Set[str]
     targets: dict[str, KnownTarget] = field(default_factory=dict)
     outages: list[Outage] = field(default_factory=list)
     out_now: dict[str, Outage] = field(default_factory=dict)
@@ -56,9 +58,10 @@
         self.seen_s = asked_s
 
     def _see_target(self, name, body):
-        self.targets[name] = KnownTarget(
-            name, body["service"], body["domain"], body["host"]
-        )
+        service = body["service"]
+        if service in self.services:
+            known = KnownTarget(name, service, body["domain"], body["host"])
+            self.targets[name] = known
 
     def _see_domain(self, name, is_out, asked_s, answered_s):
         outage = self.out_now.get(name)
--- a/kumquatshift/standins/fabric.py
+++ b/kumquatshift/standins/fabric.py
@@ -28,22 +28,23 @@
 TO_TARGETS = "to-targets"
 TO_CALLERS = "to-callers"
 UDP = "udp"
+TCP = "tcp"
 
 
 @dataclass(frozen=True)
 class ListenAddress:
-    """One service address, read from text such as ``udp 127.0.9.1:5683``."""
+    """One service address, read from text such as ``127.0.9.1 5683 udp``."""
 
     protocol: str
     endpoint: Endpoint
 
     @classmethod
     def from_text(cls, text):
-        """Read ``PROTOCOL HOST:PORT``; raise ValueError when it is not that."""
-        protocol, _, address = text.strip().partition(" ")
-        if protocol not in ("udp", "tcp"):
+        """Read ``ADDRESS PORT udp|tcp``; raise ValueError when it is not that."""
+        host, port, protocol = text.split()
+        if protocol not in (UDP, TCP):
             raise ValueError(f"expected udp or tcp, found {protocol!r}")
-        return cls(protocol, Endpoint.from_text(address))
+        return cls(protocol, Endpoint.from_text(f"{host}:{port}"))
 
 
 @dataclass(frozen=True)
@@ -66,7 +67,7 @@
             seed=int(section.get("seed", 1)),
             faults=Faults.from_config(section),
             services={name: ListenAddress.from_text(text) for name, text in services},
-            entries=dict(cfg["entries"]),
+            entries={name: text.split()[-1] for name, text in cfg["entries"].items()},
         )
 
 
--- a/kumquatshift/standins/target.py
+++ b/kumquatshift/standins/target.py
@@ -35,7 +35,7 @@
         section = cfg["target"]
         return cls(
             address=section["address"],
-            fabric=Endpoint.from_text(section["fabric"]),
+            fabric=Endpoint(section["fabric_address"], int(section["fabric_port"])),
             application=ApplicationSettings.from_config(section),
             load=LoadSettings.from_config(section),
         )
