--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -20,25 +20,27 @@
 from ..engine.node import Limits
 from ..keys import Sealer
 from ..settings import EntrySettings
-from ..settings.check import check, tell_problems
+from ..settings.check import check as check_settings, tell_problems
 from ..status import ExitStatus
 from .loop import install_reactor
 
 COPY_SHARE = 0.6
 
 
-class Commands:
-    """One entry of the load balancer."""
+class Program:
+    """Takes packets from the fabric, decides for each flow, and forwards."""
 
     def __init__(self, env: Environment):
         self._env = env
 
-    def check(self, settings):
-        """Check a settings file and tell every mistake; start nothing."""
-        return check(EntrySettings, settings, self._env)
+    def entry(self, settings, check=False):
+        """Run one entry of the load balancer until SIGTERM or SIGINT.
 
-    def start(self, settings):
-        """Run an entry until SIGTERM or SIGINT; its flows are handed over then."""
+        It hands its flows over before it ends. With --check it starts nothing
+        and tells every mistake of the settings file.
+        """
+        if check:
+            return check_settings(EntrySettings, settings, self._env)
         loaded = EntrySettings.load(settings)
         if not is_successful(loaded):
             return tell_problems(settings, loaded, self._env)
@@ -100,8 +102,9 @@
 
 def main(args: list[str], env: Environment) -> ExitStatus:
     """Run the program with the arguments of a command line."""
+    entry = Program(env).entry
     return fire.Fire(
-        Commands(env), command=args, name="kumquat-entry", serialize=lambda _: None
+        entry, command=args, name="kumquat-entry", serialize=lambda _: None
     )
 
 
