--- /dev/null
+++ b/kumquatshift/engine/refusals.py
@@ -0,0 +1,100 @@
+"""Refusals: which error kind, what it says, and when the caller may come back."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ..errors import ErrorKind
+from . import coap
+from .coap import MESSAGE_IDS
+from .datagrams import answer_packet
+from .decisions import Cause, Note, Refuse
+from .exchanges import Exchange, Phase
+from .ports import Randomness
+
+MAX_AGE_MIN_S = 1
+MAX_AGE_MAX_S = 60
+
+TEXTS = {
+    ErrorKind.NOT_RUN: "not run; come back in {} s",
+    ErrorKind.OVERLOADED: "busy; come back in {} s",
+    ErrorKind.UNAVAILABLE: "no target; come back in {} s",
+    ErrorKind.TIMEOUT: "no answer in time; come back in {} s",
+    ErrorKind.OUTCOME_UNKNOWN: "outcome unknown",
+    ErrorKind.BAD_INPUT: "options cannot be read",
+}
+
+#: Kinds that say when to come back; the others advise no second try.
+KINDS_WITH_MAX_AGE = frozenset(
+    {
+        ErrorKind.NOT_RUN,
+        ErrorKind.OVERLOADED,
+        ErrorKind.UNAVAILABLE,
+        ErrorKind.TIMEOUT,
+    }
+)
+
+
+def note_of(exchange: Exchange) -> Note:
+    """Return what other holders must know of an exchange."""
+    return Note(
+        exchange.key,
+        exchange.target,
+        exchange.born_ms,
+        exchange.epoch,
+        exchange.detail(),
+    )
+
+
+@dataclass
+class Refusals:
+    """Builds refusals, and counts them by kind and cause."""
+
+    randomness: Randomness
+    counts: Counter = field(default_factory=Counter)
+
+    def refuse(
+        self, exchange: Exchange, kind: ErrorKind, cause: Cause, backlog_s: float = 0.0
+    ) -> Refuse:
+        """Refuse an exchange for the first time.
+
+        The time to come back is drawn between the backlog and about twice
+        that, so that callers do not all return together.
+        """
+        exchange.kind = kind
+        exchange.max_age_s = 0
+        if kind in KINDS_WITH_MAX_AGE:
+            exchange.max_age_s = self._max_age_s(backlog_s)
+        self.counts[kind, cause] += 1
+        return self.again(exchange, cause)
+
+    def again(self, exchange: Exchange, cause: Cause) -> Refuse:
+        """Give the refusal of an exchange, the same as before.
+
+        The claim "not run" goes past the other holders each time, since an
+        earlier one may not have got there.
+        """
+        exchange.phase = Phase.REFUSED
+        claims = exchange.kind is ErrorKind.NOT_RUN
+        return Refuse(
+            exchange.kind,
+            cause,
+            answer_packet(exchange.flow, self._message(exchange)),
+            note_of(exchange) if claims else None,
+        )
+
+    def _message(self, exchange):
+        text = TEXTS[exchange.kind].format(exchange.max_age_s)
+        separate = exchange.acknowledged or exchange.header.type != coap.Type.CON
+        return coap.refusal(
+            exchange.header,
+            exchange.kind,
+            text,
+            exchange.max_age_s,
+            self.randomness.randrange(MESSAGE_IDS) if separate else None,
+        )
+
+    def _max_age_s(self, backlog_s):
+        low = max(MAX_AGE_MIN_S, backlog_s)
+        spread = (low + 1) * self.randomness.random()
+        return min(MAX_AGE_MAX_S, math.ceil(low + spread))
