--- /dev/null
+++ b/tests/features/steps/requests_steps.py
@@ -0,0 +1,141 @@
+from collections import Counter
+
+from aiocoap.numbers.codes import Code
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, given as for_all, settings, strategies as st
+
+from kumquatshift.engine.decisions import Forward
+from kumquatshift.errors import ErrorKind
+from tests.support import request_schedules as schedules
+from tests.support.coap_packets import reply, request
+from tests.support.naive_requests import naive_policy
+from tests.support.request_site import Site
+from tests.support.single_policy import SinglePolicy
+
+
+@given("a request site")
+def step_site(context):
+    context.site = Site()
+    context.site.ingress = "e3"
+    context.site.run(1.0)
+
+
+@given('a request fault "{fault}" at the hop "{hop}"')
+def step_fault(context, fault, hop):
+    context.site.faults[hop] = fault
+
+
+@when('the caller sends a request "{name}" that may not run twice')
+def step_send(context, name):
+    context.site.caller.send(name, Code.POST, 1, b"\x01")
+
+
+@when('the entry "{entry}" gets a copy of the request "{name}"')
+def step_copy(context, entry, name):
+    data = request(Code.POST, 1, b"\x01", name.encode())
+    context.site.node(entry).from_caller(data)
+
+
+@when('the request site plays "{events}"')
+def step_play(context, events):
+    for event in events.split(", "):
+        pause_s, kind, *what = event.split()
+        context.site.run(float(pause_s))
+        getattr(context.site, kind)(*what)
+
+
+@when("the request site runs for {seconds:d} s")
+def step_run(context, seconds):
+    context.site.run(seconds)
+
+
+@then('"{name}" ran at most once')
+def step_at_most_once(context, name):
+    assert len(context.site.runs_of(name)) <= 1, context.site.runs
+
+
+@then('nothing told "not run" ran')
+def step_not_run_true(context):
+    schedules.check(context.site)
+
+
+@then('"{name}" was told its end')
+def step_told(context, name):
+    assert name in context.site.caller.told, context.site.runs
+
+
+@then('"{name}" was answered by the target that ran it')
+def step_answered(context, name):
+    assert len(context.site.runs_of(name)) == 1, context.site.runs
+    assert context.site.caller.told[name] == f"ran {name}", context.site.caller.told
+
+
+def play_all(count, make_policy=None):
+    """Play random schedules; return the refusals by kind and cause."""
+    refused = Counter()
+    options = {"make_policy": make_policy} if make_policy else {}
+
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @for_all(schedules.SCHEDULES, schedules.SEEDS, st.booleans(), schedules.ROUGHNESS)
+    def keeps_promises(schedule, seed, separate, roughness):
+        site = schedules.play(schedule, seed, separate, roughness, **options)
+        for entry in site.entries:
+            refused.update(getattr(entry.policy, "refused", ()))
+        schedules.check(site)
+
+    keeps_promises()
+    return refused
+
+
+@then("{count:d} request schedules keep every promise")
+def step_schedules(context, count):
+    context.refused = play_all(count)
+
+
+@then('"outcome unknown" was said for the causes "{causes}"')
+def step_unknown_causes(context, causes):
+    seen = {
+        str(cause): count
+        for (kind, cause), count in context.refused.items()
+        if kind is ErrorKind.OUTCOME_UNKNOWN
+    }
+    assert set(seen) == set(causes.split(", ")), seen
+
+
+@then("the naive request policy breaks a promise in {count:d} schedules")
+def step_naive(context, count):
+    try:
+        play_all(count, naive_policy)
+    except AssertionError:
+        return
+    raise AssertionError("the naive version kept every promise")
+
+
+@given("a request policy")
+def step_policy(context):
+    context.single = SinglePolicy()
+
+
+@when("{count:d} requests that may run twice are shed by their targets")
+def step_shed(context, count):
+    single = context.single
+    context.sent, context.seen = count, 0
+    for mid in range(count):
+        single.now += 1.0
+        decisions = single.request(request(Code.GET, mid, b"%d" % mid))
+        while decisions and isinstance(decisions[0], Forward):
+            context.seen += 1
+            shed = reply(decisions[0].data, Code.SERVICE_UNAVAILABLE, max_age=1)
+            decisions = single.response(shed)
+
+
+@then("targets saw at most {times:g} times as many requests as callers sent")
+def step_budget(context, times):
+    assert context.sent < context.seen <= times * context.sent, context.seen
--- /dev/null
+++ b/tests/support/naive_requests.py
@@ -0,0 +1,60 @@
+"""The naive request policy: its own table, and a retry elsewhere at time-out."""
+
+from itertools import count
+from types import SimpleNamespace
+
+from kumquatshift.engine import coap
+from kumquatshift.engine.datagrams import answer_packet, read_datagram
+from kumquatshift.engine.decisions import Cause, Pass, Refuse, Return
+from kumquatshift.errors import ErrorKind
+
+TRY_S = 1.0
+TRIES = 3
+
+
+def naive_policy(entry):
+    return NaivePolicy(sorted(entry.site.targets))
+
+
+class NaivePolicy:
+    def __init__(self, targets):
+        self.targets, self.next, self.open = targets, count(), {}
+
+    def request(self, service, flow, packet, now):
+        header = coap.read_header(read_datagram(packet).unwrap().payload).unwrap()
+        if header.is_empty:
+            return []
+        key = (flow, header.token)
+        if key not in self.open:
+            self.open[key] = SimpleNamespace(
+                packet=packet, header=header, target="", tries=0, due=now
+            )
+        return self.send(self.open[key], now)
+
+    def send(self, req, now):
+        req.target = self.targets[next(self.next) % len(self.targets)]
+        req.tries += 1
+        req.due = now + TRY_S
+        return [Pass(req.target, req.packet)]
+
+    def response(self, flow, packet, now):
+        header = coap.read_header(read_datagram(packet).unwrap().payload).unwrap()
+        self.open.pop((flow, header.token), None)
+        return [Return(packet)]
+
+    def adopt(self, service, record, now):
+        return True
+
+    def tick(self, now):
+        decisions = []
+        for (flow, token), req in list(self.open.items()):
+            if now < req.due:
+                continue
+            if req.tries < TRIES:
+                decisions += self.send(req, now)
+                continue
+            del self.open[flow, token]
+            text = coap.refusal(req.header, ErrorKind.NOT_RUN, "not run")
+            data = answer_packet(flow, text)
+            decisions.append(Refuse(ErrorKind.NOT_RUN, Cause.EXPIRED_SENT, data))
+        return decisions
--- /dev/null
+++ b/tests/support/request_site.py
@@ -0,0 +1,378 @@
+"""A small site on a paused clock: one caller, entries, targets, and faults.
+
+Packets are method calls that the clock makes later. Each one crosses a named
+hop, at which a test may lose it, copy it, or kill who sends or receives it.
+"""
+
+import random
+from itertools import count
+
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+from twisted.internet.task import Clock
+
+from kumquatshift.engine.decisions import Forward, Pass, Refuse, Return
+from kumquatshift.engine.messages import Record
+from kumquatshift.engine.objects import Mode, Profile, Target
+from kumquatshift.engine.requests import RequestPolicy
+from kumquatshift.engine.slots import SlotPool
+
+from .coap_packets import ends, flow_of, read, reply, request, signal
+
+FLOW = flow_of()
+SERVICE = "booking"
+PROFILE = Profile("booking", mode=Mode.REQUEST, request_timeout_s=5.0)
+STEP_S = 0.05
+HOP_S = 0.002
+SUSPECT_S = 1.0
+HOLDERS = 3
+SLOTS = 1
+RETRANSMIT_S = (2.0, 4.0)
+
+#: Longer than a packet of one request may be about: an entry that has run for
+#: so long has seen all that it holds.
+SEASON_S = 7.0
+LATE_S = 2.0
+
+GIVE_UP_S = 5.5
+HOPS = (
+    "caller to entry",
+    "entry to primary",
+    "primary to standby",
+    "standby to standby",
+    "standby to target",
+    "target to entry",
+    "entry back to primary",
+    "primary to caller",
+)
+
+
+def core_policy(entry):
+    targets = [
+        Target(name, SERVICE, "north", "127.0.2." + name[1:], 6080, SLOTS)
+        for name in entry.site.targets
+    ]
+    profiles = {SERVICE: PROFILE}
+    pool = SlotPool.from_config(profiles, targets, entry.site.now())
+    return RequestPolicy.from_config(profiles, pool, entry, entry.site.rng)
+
+
+class Entry:
+    """An entry, which is also its own `Standing`."""
+
+    def __init__(self, site, name, make_policy):
+        self.site, self.name, self.make_policy = site, name, make_policy
+        self.alive = False
+        self.heard = {}
+        self.start(-SEASON_S)
+
+    def start(self, since):
+        if not self.alive:
+            self.alive, self.since, self.incarnation = True, since, object()
+            self.policy = self.make_policy(self)
+
+    def sees(self, other):
+        if other is self:
+            return True
+        heard = self.heard.get(other.name, -SUSPECT_S)
+        return self.site.now() - heard < SUSPECT_S
+
+    def is_seasoned(self):
+        return self.site.now() - self.since >= SEASON_S
+
+    def primary(self):
+        return next(entry for entry in self.site.entries if self.sees(entry))
+
+    def holders(self):
+        return [
+            entry
+            for entry in self.site.entries[:HOLDERS]
+            if entry is not self and self.sees(entry) and entry.is_seasoned()
+        ]
+
+    def is_primary(self, flow):
+        return self.primary() is self
+
+    def is_certain(self, flow):
+        inside = self in self.site.entries[:HOLDERS]
+        return inside and self.is_seasoned() and bool(self.holders())
+
+    def tick(self):
+        self.carry_out(self.policy.tick(self.site.now()))
+
+    def from_caller(self, data):
+        if self.is_primary(FLOW):
+            return self.decide(data)
+        primary = self.primary()
+        self.site.cross("entry to primary", self, primary, primary.decide, data)
+
+    def decide(self, data):
+        decisions = self.policy.request(SERVICE, FLOW, data, self.site.now())
+        self.carry_out(decisions)
+
+    def from_target(self, data):
+        if self.is_primary(FLOW):
+            return self.decide_answer(data)
+        primary = self.primary()
+        hop = "entry back to primary"
+        self.site.cross(hop, self, primary, primary.decide_answer, data)
+
+    def decide_answer(self, data):
+        self.carry_out(self.policy.response(FLOW, data, self.site.now()))
+
+    def carry_out(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, Return):
+                self.to_caller(decision.data)
+            elif isinstance(decision, Pass):
+                self.to_target(decision.target, decision.data)
+            elif isinstance(decision, Forward) or (
+                isinstance(decision, Refuse) and decision.note
+            ):
+                note = decision.note
+                record = Record(
+                    note.key,
+                    note.target,
+                    1,
+                    note.born_ms,
+                    note.epoch,
+                    False,
+                    note.detail,
+                )
+                self.along(self.holders(), record, decision.data, first=True)
+            elif isinstance(decision, Refuse):
+                self.to_caller(decision.data)
+
+    def along(self, path, record, data, first=False):
+        if path:
+            hop = "primary to standby" if first else "standby to standby"
+            rest = path[1:]
+            self.site.cross(hop, self, path[0], path[0].hold, rest, record, data)
+        elif record.target:
+            self.to_target(record.target, data)
+        else:
+            self.to_caller(data)
+
+    def hold(self, rest, record, data):
+        adopted = self.policy.adopt(SERVICE, record, self.site.now())
+        if adopted and self.is_seasoned():
+            self.along(rest, record, data)
+
+    def to_caller(self, data):
+        caller = self.site.caller
+        self.site.cross("primary to caller", self, caller, caller.receive, data)
+
+    def to_target(self, name, data):
+        target = self.site.targets[name]
+        self.site.cross("standby to target", self, target, target.receive, data)
+
+
+class FakeTarget:
+    """A CoAP server that drops copies by message id until it restarts."""
+
+    def __init__(self, site, name, service_s=0.5, separate=False):
+        self.site, self.name = site, name
+        self.service_s, self.separate = service_s, separate
+        self.alive = False
+        self.mids = count(7)
+        self.start(0.0)
+
+    def start(self, since):
+        if not self.alive:
+            self.alive, self.busy, self.seen, self.incarnation = True, 0, {}, object()
+
+    def receive(self, data):
+        msg = read(data)
+        if msg.code == Code.EMPTY:
+            return
+        if msg.mid in self.seen:
+            if self.seen[msg.mid]:
+                self.answer(self.seen[msg.mid])
+            return
+        if self.busy >= SLOTS:
+            self.answer(reply(data, Code.SERVICE_UNAVAILABLE, max_age=1))
+            return
+        self.busy += 1
+        self.seen[msg.mid] = None
+        self.site.runs.append((msg.payload.decode(), self.name))
+        if self.separate:
+            src, dst = ends(data)
+            self.answer(signal(Type.ACK, msg.mid, src=dst, dst=src))
+        self.site.clock.callLater(self.service_s, self.finish, data, self.incarnation)
+
+    def finish(self, data, incarnation):
+        if not self.alive or incarnation is not self.incarnation:
+            return
+        self.busy -= 1
+        payload = b"ran " + read(data).payload
+        kind, mid = Type.ACK, None
+        if self.separate:
+            kind, mid = Type.CON, next(self.mids)
+        answer = reply(data, Code.CONTENT, payload, kind, mid)
+        self.seen[read(data).mid] = answer
+        self.answer(answer)
+
+    def answer(self, data):
+        entry = self.site.some_entry()
+        self.site.cross("target to entry", self, entry, entry.from_target, data)
+
+
+class Caller:
+    """Sends requests with retransmissions, and keeps what it was told."""
+
+    name = "caller"
+    alive = True
+    incarnation = None
+
+    def __init__(self, site):
+        self.site = site
+        self.open = {}
+        self.told = {}
+        self.wrong = []
+        self.sent_at, self.mids, self.heard_mids = {}, {}, set()
+        self.once = set()
+
+    def send(self, name, code, mid, token, **options):
+        """Send a request; a token is used again once its last use is over."""
+        if self.is_busy(token):
+            return
+        self.sent_at[name], self.mids[name] = self.site.now(), mid
+        data = request(code, mid, token, name.encode(), **options)
+        self.open[token] = name
+        if code in (Code.POST, Code.PATCH):
+            self.once.add(name)
+        self.transmit(data)
+        for delay_s in RETRANSMIT_S:
+            self.site.clock.callLater(delay_s, self.again, name, token, data)
+
+    def is_busy(self, token):
+        name = self.open.get(token)
+        if name is None or name in self.told:
+            return False
+        return self.site.now() - self.sent_at[name] < GIVE_UP_S
+
+    def again(self, name, token, data):
+        if self.open.get(token) == name and name not in self.told:
+            self.transmit(data)
+
+    def transmit(self, data):
+        entry = self.site.some_entry()
+        self.site.cross("caller to entry", self, entry, entry.from_caller, data)
+
+    def receive(self, data):
+        msg = read(data)
+        if msg.mtype == Type.CON:
+            self.transmit(signal(Type.ACK, msg.mid))
+        if msg.mtype in (Type.CON, Type.NON):
+            if msg.mid in self.heard_mids:
+                return
+            self.heard_mids.add(msg.mid)
+        if msg.code == Code.EMPTY or msg.token not in self.open:
+            return
+        name = self.open[msg.token]
+        if msg.mtype == Type.ACK and msg.mid != self.mids[name]:
+            return
+        text = msg.payload.decode()
+        if text.startswith("ran ") and text != f"ran {name}":
+            self.wrong.append((name, text))
+        self.told.setdefault(name, text)
+
+
+class Site:
+    def __init__(self, seed=1, make_policy=core_policy, entries=4, targets=3):
+        self.clock, self.rng = Clock(), random.Random(seed)
+        self.runs, self.cuts, self.faults = [], set(), {}
+        self.targets = {}
+        for i in range(targets):
+            self.targets[f"t{i}"] = FakeTarget(self, f"t{i}")
+        self.entries = []
+        for i in range(entries):
+            self.entries.append(Entry(self, f"e{i}", make_policy))
+        self.caller = Caller(self)
+        self.ingress = None
+        self.roughness = 0.0
+        self.beat()
+
+    def now(self):
+        return self.clock.seconds()
+
+    def node(self, name):
+        nodes = {entry.name: entry for entry in self.entries}
+        return (nodes | self.targets)[name]
+
+    def kill(self, name):
+        self.node(name).alive = False
+
+    def start(self, name):
+        self.node(name).start(self.now())
+
+    def restart(self, name):
+        self.kill(name)
+        self.start(name)
+
+    def restart_targets(self):
+        for name in self.targets:
+            self.restart(name)
+
+    def fault(self, hop, fault):
+        self.faults[hop] = fault
+
+    def cut(self, one, other):
+        self.cuts |= {(one, other), (other, one)}
+
+    def heal(self):
+        self.cuts.clear()
+
+    def some_entry(self):
+        if self.ingress and self.node(self.ingress).alive:
+            return self.node(self.ingress)
+        alive = [entry for entry in self.entries if entry.alive]
+        return self.rng.choice(alive or self.entries)
+
+    def cross(self, hop, sender, receiver, call, *args):
+        if not sender.alive or (sender.name, receiver.name) in self.cuts:
+            return
+        delays = [HOP_S * (1 + self.rng.random())]
+        fault = self.faults.pop(hop, None) or self.some_fault(hop)
+        if fault == "kill sender":
+            sender.alive = False
+        elif fault == "kill receiver":
+            receiver.alive = False
+        elif fault == "lose":
+            return
+        elif fault == "copy":
+            delays.append(delays[0] + self.rng.random() * LATE_S)
+        elif fault == "delay":
+            delays[0] += self.rng.random() * LATE_S
+        for delay in delays:
+            self.clock.callLater(delay, self.arrive, receiver, call, args)
+
+    def some_fault(self, hop):
+        if hop == "standby to target" or not self.roughness:
+            return None
+        for fault in ("lose", "delay", "copy"):
+            if self.rng.random() < self.roughness:
+                return fault
+        return None
+
+    def arrive(self, receiver, call, args):
+        if receiver.alive:
+            call(*args)
+
+    def beat(self):
+        for entry in self.entries:
+            for other in self.entries:
+                cut = (entry.name, other.name) in self.cuts
+                if entry.alive and other.alive and not cut:
+                    entry.heard[other.name] = self.now()
+        for entry in self.entries:
+            if entry.alive:
+                entry.tick()
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.pump([STEP_S / 10] * 10)
+            self.beat()
+
+    def runs_of(self, name):
+        return [target for ran, target in self.runs if ran == name]
