--- a/kumquatshift/measures/allowances.py
+++ b/kumquatshift/measures/allowances.py
@@ -33,7 +33,7 @@
 #: Owners tell their backlog with each heartbeat.
 HEARTBEAT_S = 1.0
 
-#: Owners that are asked for a free slot before the claim waits at the first.
+#: Owners that are asked besides the first: for a free slot, then to wait.
 TRIES_ELSEWHERE = 2
 SERVICE = "stock"
 PROFILES = {SERVICE: PLAIN}
@@ -194,7 +194,7 @@
         first = min(model.chance.choices(indexes, sizes, k=2), key=known.__getitem__)
         others = [i for i in indexes if i != first]
         model.chance.shuffle(others)
-        return [first, *others[:TRIES_ELSEWHERE], first]
+        return [first, *others[:TRIES_ELSEWHERE]]
 
     model.route = route
     model.hops = 5
--- a/kumquatshift/measures/load_model.py
+++ b/kumquatshift/measures/load_model.py
@@ -233,18 +233,19 @@
         self._ask(req, self.route(decider))
 
     def _ask(self, req, pools):
-        req.owner, *others = pools
+        """Ask the pools for a free slot, and then, one by one, to wait."""
         claim = Claim(
             b"%d" % req.number,
             req.service,
             self.profiles[req.service].priority,
             req.arrived + DEADLINE_S,
         )
-        pool = self.pools[req.owner]
-        verdict = pool.claim(claim, self.timeline.now, wait=not others)
-        if isinstance(verdict, Rejected) and others:
-            self._ask(req, others)
-            return
+        tries = [(pool, False) for pool in pools if len(pools) > 1]
+        for pool, wait in tries + [(pool, True) for pool in pools]:
+            req.owner = pool
+            verdict = self.pools[pool].claim(claim, self.timeline.now, wait=wait)
+            if not isinstance(verdict, Rejected):
+                break
         self._waiting[claim.ticket] = req
         self._settle([verdict])
 
