--- a/tests/support/coap_packets.py
+++ b/kumquatshift/measures/coap_packets.py
@@ -13,11 +13,13 @@
 
 
 def flow_of(caller=CALLER, service=SERVICE):
+    """Return the key of the flow from a caller to a service."""
     src, dst = socket.inet_aton(caller[0]), socket.inet_aton(service[0])
     return struct.pack("!4s4sHHB", src, dst, caller[1], service[1], 17)
 
 
 def packet(message, src=CALLER, dst=SERVICE):
+    """Return a UDP payload in an IPv4 packet."""
     udp = dpkt.udp.UDP(sport=src[1], dport=dst[1], data=message)
     udp.ulen = 8 + len(message)
     ip = dpkt.ip.IP(src=socket.inet_aton(src[0]), dst=socket.inet_aton(dst[0]), p=17)
@@ -27,6 +29,7 @@
 
 
 def message(code, mid, token=b"", kind=Type.CON, payload=b"", **options):
+    """Return the bytes of a CoAP message; options go by keyword."""
     msg = Message(code=code, payload=payload, _mtype=kind, _mid=mid, _token=token)
     for name, value in options.items():
         setattr(msg.opt, name, value)
@@ -34,6 +37,7 @@
 
 
 def request(code, mid, token, payload=b"", kind=Type.CON, caller=CALLER, **options):
+    """Return a caller's request in its packet."""
     options.setdefault("uri_path", ("hold",))
     return packet(message(code, mid, token, kind, payload, **options), src=caller)
 
@@ -48,14 +52,17 @@
 
 
 def signal(kind, mid, src=CALLER, dst=SERVICE):
+    """Return an empty ACK, RST or ping in its packet."""
     return packet(bytes((0x40 | kind << 4, 0)) + struct.pack("!H", mid), src, dst)
 
 
 def read(data):
+    """Decode the CoAP message of a packet."""
     return Message.decode(bytes(dpkt.ip.IP(data).data.data))
 
 
 def ends(data):
+    """Return the two (address, port) ends of a packet."""
     ip = dpkt.ip.IP(data)
     src, dst = socket.inet_ntoa(ip.src), socket.inet_ntoa(ip.dst)
     return (src, ip.data.sport), (dst, ip.data.dport)
--- a/tests/support/naive_requests.py
+++ b/kumquatshift/measures/naive_requests.py
@@ -3,24 +3,28 @@
 from itertools import count
 from types import SimpleNamespace
 
-from kumquatshift.engine import coap
-from kumquatshift.engine.datagrams import answer_packet, read_datagram
-from kumquatshift.engine.decisions import Cause, Pass, Refuse, Return
-from kumquatshift.errors import ErrorKind
+from ..engine import coap
+from ..engine.datagrams import answer_packet, read_datagram
+from ..engine.decisions import Cause, Pass, Refuse, Return
+from ..errors import ErrorKind
 
 TRY_S = 1.0
 TRIES = 3
 
 
 def naive_policy(entry):
+    """Make the naive policy of one entry."""
     return NaivePolicy(sorted(entry.site.targets))
 
 
 class NaivePolicy:
+    """Knows only what came through its own entry; tries again at a time-out."""
+
     def __init__(self, targets):
         self.targets, self.next, self.open = targets, count(), {}
 
     def request(self, service, flow, packet, now):
+        """Send a request to the next target, repeated or not."""
         header = coap.read_header(read_datagram(packet).unwrap().payload).unwrap()
         if header.is_empty:
             return []
@@ -32,20 +36,24 @@
         return self.send(self.open[key], now)
 
     def send(self, req, now):
+        """Try the next target."""
         req.target = self.targets[next(self.next) % len(self.targets)]
         req.tries += 1
         req.due = now + TRY_S
         return [Pass(req.target, req.packet)]
 
     def response(self, flow, packet, now):
+        """Give whatever a target says to the caller."""
         header = coap.read_header(read_datagram(packet).unwrap().payload).unwrap()
         self.open.pop((flow, header.token), None)
         return [Return(packet)]
 
     def adopt(self, service, record, now):
+        """Take what others decided for granted."""
         return True
 
     def tick(self, now):
+        """Try again, and in the end say "not run"."""
         decisions = []
         for (flow, token), req in list(self.open.items()):
             if now < req.due:
--- a/tests/support/request_site.py
+++ b/kumquatshift/measures/request_site.py
@@ -11,12 +11,11 @@
 from aiocoap.numbers.types import Type
 from twisted.internet.task import Clock
 
-from kumquatshift.engine.decisions import Forward, Pass, Refuse, Return
-from kumquatshift.engine.messages import Record
-from kumquatshift.engine.objects import Mode, Profile, Target
-from kumquatshift.engine.requests import RequestPolicy
-from kumquatshift.engine.slots import SlotPool
-
+from ..engine.decisions import Forward, Pass, Refuse, Return
+from ..engine.messages import Record
+from ..engine.objects import Mode, Profile, Target
+from ..engine.requests import RequestPolicy
+from ..engine.slots import SlotPool
 from .coap_packets import ends, flow_of, read, reply, request, signal
 
 FLOW = flow_of()
@@ -48,6 +47,7 @@
 
 
 def core_policy(entry):
+    """Make the request policy of one entry."""
     targets = [
         Target(name, SERVICE, "north", "127.0.2." + name[1:], 6080, SLOTS)
         for name in entry.site.targets
@@ -67,23 +67,28 @@
         self.start(-SEASON_S)
 
     def start(self, since):
+        """Run from now on, with nothing remembered."""
         if not self.alive:
             self.alive, self.since, self.incarnation = True, since, object()
             self.policy = self.make_policy(self)
 
     def sees(self, other):
+        """Tell whether another entry was heard of lately."""
         if other is self:
             return True
         heard = self.heard.get(other.name, -SUSPECT_S)
         return self.site.now() - heard < SUSPECT_S
 
     def is_seasoned(self):
+        """Tell whether this entry has run long enough to know its flows."""
         return self.site.now() - self.since >= SEASON_S
 
     def primary(self):
+        """Return who decides, as this entry sees it."""
         return next(entry for entry in self.site.entries if self.sees(entry))
 
     def holders(self):
+        """Return the other holders that this entry can count on."""
         return [
             entry
             for entry in self.site.entries[:HOLDERS]
@@ -91,26 +96,32 @@
         ]
 
     def is_primary(self, flow):
+        """Tell whether this entry decides."""
         return self.primary() is self
 
     def is_certain(self, flow):
+        """Tell whether two of the three holders are of one mind."""
         inside = self in self.site.entries[:HOLDERS]
         return inside and self.is_seasoned() and bool(self.holders())
 
     def tick(self):
+        """Let the policy's time pass."""
         self.carry_out(self.policy.tick(self.site.now()))
 
     def from_caller(self, data):
+        """Take a packet of the caller from the fabric."""
         if self.is_primary(FLOW):
             return self.decide(data)
         primary = self.primary()
         self.site.cross("entry to primary", self, primary, primary.decide, data)
 
     def decide(self, data):
+        """Decide a packet of the caller."""
         decisions = self.policy.request(SERVICE, FLOW, data, self.site.now())
         self.carry_out(decisions)
 
     def from_target(self, data):
+        """Take a packet of a target from the fabric."""
         if self.is_primary(FLOW):
             return self.decide_answer(data)
         primary = self.primary()
@@ -118,9 +129,11 @@
         self.site.cross(hop, self, primary, primary.decide_answer, data)
 
     def decide_answer(self, data):
+        """Decide a packet of a target."""
         self.carry_out(self.policy.response(FLOW, data, self.site.now()))
 
     def carry_out(self, decisions):
+        """Do what the policy decided."""
         for decision in decisions:
             if isinstance(decision, Return):
                 self.to_caller(decision.data)
@@ -144,6 +157,7 @@
                 self.to_caller(decision.data)
 
     def along(self, path, record, data, first=False):
+        """Take a record past the other holders, and then its packet to its end."""
         if path:
             hop = "primary to standby" if first else "standby to standby"
             rest = path[1:]
@@ -154,15 +168,18 @@
             self.to_caller(data)
 
     def hold(self, rest, record, data):
+        """Hold a record, and pass its packet on unless it must stop here."""
         adopted = self.policy.adopt(SERVICE, record, self.site.now())
         if adopted and self.is_seasoned():
             self.along(rest, record, data)
 
     def to_caller(self, data):
+        """Send a packet to the caller."""
         caller = self.site.caller
         self.site.cross("primary to caller", self, caller, caller.receive, data)
 
     def to_target(self, name, data):
+        """Send a packet to a target."""
         target = self.site.targets[name]
         self.site.cross("standby to target", self, target, target.receive, data)
 
@@ -178,10 +195,12 @@
         self.start(0.0)
 
     def start(self, since):
+        """Run from now on, with nothing remembered."""
         if not self.alive:
             self.alive, self.busy, self.seen, self.incarnation = True, 0, {}, object()
 
     def receive(self, data):
+        """Take a packet; run its request if it is new and there is a slot."""
         msg = read(data)
         if msg.code == Code.EMPTY:
             return
@@ -201,6 +220,7 @@
         self.site.clock.callLater(self.service_s, self.finish, data, self.incarnation)
 
     def finish(self, data, incarnation):
+        """Answer a request, unless the target restarted in between."""
         if not self.alive or incarnation is not self.incarnation:
             return
         self.busy -= 1
@@ -213,6 +233,7 @@
         self.answer(answer)
 
     def answer(self, data):
+        """Send an answer to some entry."""
         entry = self.site.some_entry()
         self.site.cross("target to entry", self, entry, entry.from_target, data)
 
@@ -246,20 +267,24 @@
             self.site.clock.callLater(delay_s, self.again, name, token, data)
 
     def is_busy(self, token):
+        """Tell whether the last request with a token may still be answered."""
         name = self.open.get(token)
         if name is None or name in self.told:
             return False
         return self.site.now() - self.sent_at[name] < GIVE_UP_S
 
     def again(self, name, token, data):
+        """Send a request again, unless its end was told."""
         if self.open.get(token) == name and name not in self.told:
             self.transmit(data)
 
     def transmit(self, data):
+        """Send a packet to some entry."""
         entry = self.site.some_entry()
         self.site.cross("caller to entry", self, entry, entry.from_caller, data)
 
     def receive(self, data):
+        """Match an answer as RFC 7252 says, and keep what it tells."""
         msg = read(data)
         if msg.mtype == Type.CON:
             self.transmit(signal(Type.ACK, msg.mid))
@@ -279,6 +304,8 @@
 
 
 class Site:
+    """The nodes, the links between them, and what befalls them."""
+
     def __init__(self, seed=1, make_policy=core_policy, entries=4, targets=3):
         self.clock, self.rng = Clock(), random.Random(seed)
         self.runs, self.cuts, self.faults = [], set(), {}
@@ -294,42 +321,53 @@
         self.beat()
 
     def now(self):
+        """Return the time in seconds."""
         return self.clock.seconds()
 
     def node(self, name):
+        """Return an entry or a target by name."""
         nodes = {entry.name: entry for entry in self.entries}
         return (nodes | self.targets)[name]
 
     def kill(self, name):
+        """Stop a node at once."""
         self.node(name).alive = False
 
     def start(self, name):
+        """Start a stopped node."""
         self.node(name).start(self.now())
 
     def restart(self, name):
+        """Stop and start a node; it forgets everything."""
         self.kill(name)
         self.start(name)
 
     def restart_targets(self):
+        """Restart all targets."""
         for name in self.targets:
             self.restart(name)
 
     def fault(self, hop, fault):
+        """Let the next packet at a hop meet a fault."""
         self.faults[hop] = fault
 
     def cut(self, one, other):
+        """Cut two nodes off from each other."""
         self.cuts |= {(one, other), (other, one)}
 
     def heal(self):
+        """End all cuts."""
         self.cuts.clear()
 
     def some_entry(self):
+        """Return an entry that the fabric may choose."""
         if self.ingress and self.node(self.ingress).alive:
             return self.node(self.ingress)
         alive = [entry for entry in self.entries if entry.alive]
         return self.rng.choice(alive or self.entries)
 
     def cross(self, hop, sender, receiver, call, *args):
+        """Take a packet over one hop, through its faults."""
         if not sender.alive or (sender.name, receiver.name) in self.cuts:
             return
         delays = [HOP_S * (1 + self.rng.random())]
@@ -348,6 +386,7 @@
             self.clock.callLater(delay, self.arrive, receiver, call, args)
 
     def some_fault(self, hop):
+        """Draw a fault for a packet."""
         if hop == "standby to target" or not self.roughness:
             return None
         for fault in ("lose", "delay", "copy"):
@@ -356,10 +395,12 @@
         return None
 
     def arrive(self, receiver, call, args):
+        """Hand a packet to its receiver."""
         if receiver.alive:
             call(*args)
 
     def beat(self):
+        """Exchange heartbeats, and let every entry tick."""
         for entry in self.entries:
             for other in self.entries:
                 cut = (entry.name, other.name) in self.cuts
@@ -370,9 +411,11 @@
                 entry.tick()
 
     def run(self, seconds):
+        """Let time pass."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.pump([STEP_S / 10] * 10)
             self.beat()
 
     def runs_of(self, name):
+        """Return the targets whose application ran a request."""
         return [target for ran, target in self.runs if ran == name]
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -4,7 +4,7 @@
 
 from kumquatshift.engine.decisions import Discard, Forward, Pass, Refuse, Return
 from kumquatshift.engine.messages import Record
-from tests.support.coap_packets import (
+from kumquatshift.measures.coap_packets import (
     CALLER,
     SERVICE,
     ends,
--- a/tests/features/steps/coap_steps.py
+++ b/tests/features/steps/coap_steps.py
@@ -16,7 +16,7 @@
 from kumquatshift.engine.exchanges import Exchange
 from kumquatshift.engine.refusals import Refusals
 from kumquatshift.errors import ErrorKind
-from tests.support.coap_packets import flow_of, packet, read, request
+from kumquatshift.measures.coap_packets import flow_of, packet, read, request
 
 REQUESTS = st.builds(
     lambda kind, code, mid, token, path, observe, block, payload: Message(
--- a/tests/support/single_policy.py
+++ b/tests/support/single_policy.py
@@ -5,8 +5,7 @@
 from kumquatshift.engine.objects import Mode, Profile, Target
 from kumquatshift.engine.requests import RequestPolicy, SoleEntry
 from kumquatshift.engine.slots import SlotPool
-
-from .coap_packets import flow_of
+from kumquatshift.measures.coap_packets import flow_of
 
 
 class SinglePolicy:
