--- a/kumquatshift/engine/slots.py
+++ b/kumquatshift/engine/slots.py
@@ -190,6 +190,12 @@
         work = len(self.queue) + held
         return work * self._mean_s(service) / max(1, self._slots(service))
 
+    def load(self) -> float:
+        """Return requests in flight and waiting, per slot."""
+        held = sum(allowance.used for allowance in self.hosts.values())
+        slots = sum(int(allowance.limit) for allowance in self.hosts.values())
+        return (held + len(self.queue)) / max(1, slots)
+
     def _dispatch(self, now):
         verdicts = []
         while len(self.queue):
--- /dev/null
+++ b/kumquatshift/measures/requests.py
@@ -0,0 +1,144 @@
+"""Measures of the request policy: what runs twice, what is untrue, who waits."""
+
+import random
+
+from ..engine.objects import Priority, Profile
+from . import allowances
+from .allowances import CAPACITY, HOSTS, SCHEMES, SERVICE, Scheme
+from .load_model import DEADLINE_S, Load, Model, site_targets, warm_up
+from .measure import Measure, at_least, at_most, exactly, reported
+from .naive_requests import naive_policy
+from .request_schedules import Findings, play, random_schedule
+
+SEED = 11
+SCHEDULES = 120
+NAIVE_SCHEDULES = 20
+
+#: The scheme that entries follow; see docs/DESIGN-REQUESTS.md.
+SCHEME = next(scheme for scheme in SCHEMES if scheme.name == "owner per domain")
+
+ALERT = "alert"
+REPORT = "report"
+ALERT_SHARE = 0.2
+REPORT_SHARE = 2.0
+ALERT_RUN_S = 40.0
+
+FLOOD = 3.0
+FLOOD_S = 60.0
+NORMAL_SHARE = 0.7
+NORMAL_S = 20.0
+RECOVERY_S = 5.0
+
+
+def measure_promises() -> tuple[Measure, ...]:
+    """Play random schedules of faults; count broken promises."""
+    found, naive = _play(SCHEDULES), _play(NAIVE_SCHEDULES, make_policy=naive_policy)
+    unknown = sum(
+        count for (kind, _), count in found.refused.items() if kind == "outcome-unknown"
+    )
+    return (
+        exactly("duplicate_runs", len(found.duplicate_runs), 0),
+        exactly("false_not_run", len(found.false_not_run), 0),
+        exactly("wrong_answers", len(found.wrong_answers), 0),
+        at_least("naive_duplicate_runs", len(naive.duplicate_runs), 1),
+        reported("schedule_requests", found.sent),
+        reported("schedule_unknown_share", unknown / found.sent),
+    )
+
+
+def measure_cold_targets() -> tuple[Measure, ...]:
+    """Admit a cold target, and let a warm one turn cold without a sign."""
+    start = allowances.with_cold_start(SCHEME).targets["h0"]
+    turn = allowances.with_silent_turn(SCHEME).targets["h1"]
+    naive = allowances.with_cold_start(SCHEMES[0]).targets["h0"]
+    falls = start.falls + turn.falls
+    return (
+        exactly("cold_overload", start.cold_overloads, 0),
+        exactly("cold_falls", falls, 0),
+        reported("cold_overload_silent_turns", turn.cold_overloads),
+        reported("naive_cold_overload", naive.cold_overloads),
+    )
+
+
+def measure_steady_load() -> tuple[Measure, ...]:
+    """Run at 70% and at 95% of the capacity."""
+    steady = allowances.offered(SCHEME, 0.7)
+    full = allowances.offered(SCHEME, 0.95)
+    return (
+        at_most("imbalance_max_over_mean", allowances.imbalance(steady), 1.15),
+        at_least("answered_share_at_95", full.tallies[SERVICE].answered_share, 0.95),
+    )
+
+
+def measure_priorities() -> tuple[Measure, ...]:
+    """Run urgent requests alone, and next to bulk at twice the capacity."""
+    alone, beside = alerts(SCHEME, 0.0), alerts(SCHEME, REPORT_SHARE)
+    urgent, bulk = beside.tallies[ALERT], beside.tallies[REPORT]
+    ratio = urgent.p99_s() / alone.tallies[ALERT].p99_s()
+    moved = len(bulk.latencies_s) / (CAPACITY * ALERT_RUN_S)
+    return (
+        at_most("urgent_p99_ratio", ratio, 1.5),
+        exactly("urgent_refused", urgent.refused + urgent.shed, 0),
+        at_least("bulk_share_of_capacity", moved, 0.2),
+    )
+
+
+def measure_overload() -> tuple[Measure, ...]:
+    """Offer three times the capacity for a minute, then 70% of it."""
+    model = flood(SCHEME)
+    good = [at for at, is_good in model.tallies[SERVICE].ends if is_good]
+    flooded = sum(at < FLOOD_S for at in good) / (CAPACITY * FLOOD_S)
+    return (
+        at_least("goodput_overload_ratio", flooded, 0.9),
+        at_least("answered_share_after_overload", _share_after(model), 0.95),
+    )
+
+
+def alerts(scheme: Scheme, bulk: float, seconds: float = ALERT_RUN_S) -> Model:
+    """Run urgent requests beside ``bulk`` times the capacity of bulk ones."""
+    profiles = {
+        ALERT: Profile("urgent", priority=Priority.URGENT, reserved_share=0.5),
+        REPORT: Profile("bulk", priority=Priority.BULK),
+    }
+    model = Model(site_targets(HOSTS, (ALERT, REPORT)), profiles, SEED)
+    model.weights = allowances.SPRAY
+    scheme.build(model)
+    warm_up(model)
+    model.offer(Load(ALERT, ALERT_SHARE * CAPACITY, 0.0, seconds))
+    if bulk:
+        model.offer(Load(REPORT, bulk * CAPACITY, 0.0, seconds))
+    model.run(seconds + DEADLINE_S)
+    return model
+
+
+def flood(scheme: Scheme, seconds: float = FLOOD_S) -> Model:
+    """Run at three times the capacity, and then at 70% of it."""
+    model = allowances.build(scheme)
+    end_s = seconds + NORMAL_S
+    model.offer(Load(SERVICE, FLOOD * CAPACITY, 0.0, seconds))
+    model.offer(Load(SERVICE, NORMAL_SHARE * CAPACITY, seconds, end_s))
+    model.run(end_s)
+    return model
+
+
+def _share_after(model):
+    since_s = FLOOD_S + RECOVERY_S
+    ends = [good for at, good in model.tallies[SERVICE].ends if at >= since_s]
+    return sum(ends) / len(ends)
+
+
+def _play(number, **options):
+    chance = random.Random(SEED)
+    findings = Findings()
+    for _ in range(number):
+        findings.add(play(random_schedule(chance), **options))
+    return findings
+
+
+MEASURES = (
+    measure_promises,
+    measure_cold_targets,
+    measure_steady_load,
+    measure_priorities,
+    measure_overload,
+)
