--- /dev/null
+++ b/tests/features/allowance.feature
@@ -0,0 +1,72 @@
+Feature: A target receives no more than it can bear
+
+  Scenario: A new target gets one request at a time
+    Given a slot pool of 3 cold targets with 2 slots
+    When 9 claims come
+    Then 3 are granted, each on another target, and 6 wait
+
+  Scenario Outline: What answers do to an allowance
+    Given a slot pool of 3 warm targets with 2 slots
+    When one target gives <answers>
+    Then its allowance is <allowance>
+
+    Examples:
+      | answers                            | allowance |
+      | 20 good answers in 0.1 s           | 2         |
+      | 1 shed answer                      | 1         |
+      | 1 lost answer                      | 1         |
+      | 4 server errors                    | 2         |
+      | 5 server errors                    | 1         |
+      | 20 good answers in 0.1 s and 9 good answers in 0.5 s | 1 |
+      | 1 lost answer and 8 good answers in 0.1 s | 2  |
+      | 1 lost answer and 7 good answers in 0.1 s | 1  |
+      | 1 lost answer and 20 good answers in 0.5 s | 1 |
+
+  Scenario Outline: A target that shed or lost a request rests
+    Given a slot pool of 1 warm targets with 2 slots
+    When one target gives <answers>
+    Then it gets nothing for <seconds> s, and then one request
+
+    Examples:
+      | answers        | seconds |
+      | 1 shed answer  | 1.0     |
+      | 1 lost answer  | 0.5     |
+
+  Scenario Outline: Reports of endpoints only break ties
+    Given a slot pool of 3 warm targets with 2 slots
+    When one target reports a load of <load> that is <age> s old
+    And <busy> of its slots are in use
+    Then it is <chosen> for the next claim
+
+    Examples:
+      | load | age | busy | chosen     |
+      | 0.0  | 0   | 0    | chosen     |
+      | 1.0  | 0   | 0    | not chosen |
+      | 0.0  | 0   | 1    | not chosen |
+
+  Scenario: Services on one host share its slots
+    Given a slot pool of 2 hosts that serve 2 services
+    When 9 claims of each service come
+    Then 4 are granted in all
+
+  Scenario: A retired target gets no new work, and its work ends in peace
+    Given a slot pool of 2 warm targets with 2 slots
+    When 2 claims come
+    And one target is retired
+    And 9 claims come
+    Then the retired target has only what it had
+
+  Scenario Outline: Entries that share targets through their domains' owners
+    Then with seed <seed> a cold target is never overloaded
+    And with seed <seed> a target that turns cold unseen is overloaded at most twice a turn
+    And with seed <seed> work is at most 1.15 times the mean at 70% load
+    And with seed <seed> at least 0.95 is answered at 95% load
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: Naive round robin overloads a cold target
+    Then naive round robin overloads a cold target
