--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -112,6 +112,13 @@
             "all entries to be ready",
         )
         wait_for(self.is_configured, READY_LIMIT_S, "all entries to be configured")
+        wait_for(self.is_seasoned, READY_LIMIT_S, "all entries to be seasoned")
+
+    def is_seasoned(self):
+        """Tell whether every entry has run long enough to know what is new."""
+        hosts = [text.split()[-1] for text in self.site["entries"].values()]
+        dumps = [fetch(f"http://{host}:{ADMIN_PORT}/dump") for host in hosts]
+        return all(dump and all(dump["seasoned"].values()) for dump in dumps)
 
     def ready_entries(self):
         """Return the names of the entries that the fabric finds ready."""
--- a/kumquatshift/adapters/driver.py
+++ b/kumquatshift/adapters/driver.py
@@ -20,7 +20,7 @@
     WatchPlatform,
 )
 from ..engine.dump import dump
-from ..engine.entry import TICK_S, EntryEngine
+from ..engine.entry import REQUEST_TICK_S, TICK_S, EntryEngine
 from ..engine.members import Vm
 from ..engine.messages import EntryState, Message, RecordBatch
 from ..engine.objects import Versioned
@@ -63,6 +63,7 @@
         )
         self._wire_bytes: dict[str, int] = {}
         self._limited = RateLimited(logger_for(Part.PACKETS), reactor)
+        self._calls_limited = RateLimited(logger_for(Part.CONTROL), reactor)
         self._packets = PacketPort(
             cfg.fabric.allowed_sources, self._take_packet, self._refuse
         )
@@ -73,6 +74,8 @@
         self._syncing: set[str] = set()
         self._ticker = task.LoopingCall(self._tick)
         self._ticker.clock = reactor
+        self._request_ticker = task.LoopingCall(self._request_tick)
+        self._request_ticker.clock = reactor
         self._show_gauges()
 
     def start(self) -> None:
@@ -82,6 +85,7 @@
         listen(entry.packet_port, self._packets, entry.address, maxPacketSize=65535)
         listen(entry.peer_port, self._peers, entry.address, maxPacketSize=65535)
         self._ticker.start(TICK_S)
+        self._request_ticker.start(REQUEST_TICK_S)
         log.info("{} starts in {}.", entry.name, entry.domain)
 
     def use_platform(self, platform) -> None:
@@ -156,6 +160,9 @@
     def _tick(self):
         self._carry_out(self._engine.tick())
 
+    def _request_tick(self):
+        self._carry_out(self._engine.request_tick())
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             kind = type(action)
@@ -214,9 +221,7 @@
             return
         exc = fut.exception()
         told = exc.code().name if isinstance(exc, grpc.RpcError) else repr(exc)
-        self._limited.warning(
-            ("control", peer), "A control call to {} failed: {}.", peer, told
-        )
+        self._calls_limited.warning(peer, "A call to {} failed: {}.", peer, told)
 
     def _place(self, address):
         return f"{address}:{self._cfg.entry.control_port}"
--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -8,7 +8,13 @@
     Record,
     RecordBatch,
     Relay,
+    ReleaseKind,
+    SlotClaim,
+    SlotRelease,
+    SlotVerdict,
+    VerdictKind,
 )
+from ..engine.objects import Priority
 from ..wire import entry_pb2 as pb
 
 
@@ -18,13 +24,9 @@
 
 def encode(sender: str, message: Message) -> bytes:
     """Return the bytes of a message from the entry ``sender``."""
-    if isinstance(message, Relay):
-        body = pb.Envelope(sender=sender, relay=_relay(message))
-    elif isinstance(message, RecordBatch):
-        body = pb.Envelope(sender=sender, records=encode_batch(message))
-    else:
-        body = pb.Envelope(sender=sender, heartbeat=_heartbeat(message))
-    return body.SerializeToString()
+    field, write = _WRITERS[type(message)]
+    envelope = pb.Envelope(sender=sender, **{field: write(message)})
+    return envelope.SerializeToString()
 
 
 def decode(data: bytes) -> tuple[str, Message]:
@@ -32,14 +34,8 @@
     try:
         envelope = pb.Envelope.FromString(data)
         kind = envelope.WhichOneof("body")
-        if kind == "relay":
-            return envelope.sender, _read_relay(envelope.relay)
-        if kind == "records":
-            return envelope.sender, decode_batch(envelope.records)
-        if kind == "heartbeat":
-            return envelope.sender, _read_heartbeat(envelope)
-    except (ValueError, IndexError, OverflowError) as exc:
-        raise MalformedEnvelopeError(str(exc)) from exc
+        if kind is not None:
+            return envelope.sender, _READERS[kind](envelope)
     except Exception as exc:
         # Protobuf's own error type differs between its implementations.
         raise MalformedEnvelopeError(str(exc)) from exc
@@ -120,7 +116,8 @@
     return message
 
 
-def _read_relay(message):
+def _read_relay(envelope):
+    message = envelope.relay
     record = None
     if message.HasField("record"):
         row = message.record
@@ -168,3 +165,76 @@
         beat.address,
         tuple(beat.heard),
     )
+
+
+def _claim(claim):
+    return pb.SlotClaim(
+        ticket=claim.ticket,
+        service=claim.service,
+        priority=claim.priority.value,
+        remaining_ms=claim.remaining_ms,
+        pinned=claim.pinned,
+        avoid=claim.avoid,
+    )
+
+
+def _read_claim(envelope):
+    claim = envelope.claim
+    return SlotClaim(
+        claim.ticket,
+        claim.service,
+        Priority(claim.priority),
+        claim.remaining_ms,
+        claim.pinned,
+        tuple(claim.avoid),
+    )
+
+
+def _verdict(verdict):
+    return pb.SlotVerdict(
+        ticket=verdict.ticket,
+        kind=verdict.kind,
+        target=verdict.target,
+        backlog_ms=verdict.backlog_ms,
+    )
+
+
+def _read_verdict(envelope):
+    verdict = envelope.verdict
+    kind = VerdictKind(verdict.kind)
+    return SlotVerdict(verdict.ticket, kind, verdict.target, verdict.backlog_ms)
+
+
+def _release(release):
+    return pb.SlotRelease(
+        ticket=release.ticket, kind=release.kind, max_age_ms=release.max_age_ms
+    )
+
+
+def _read_release(envelope):
+    release = envelope.release
+    kind = ReleaseKind(release.kind)
+    return SlotRelease(release.ticket, kind, release.max_age_ms)
+
+
+def _read_records(envelope):
+    return decode_batch(envelope.records)
+
+
+_WRITERS = {
+    Relay: ("relay", _relay),
+    RecordBatch: ("records", encode_batch),
+    Heartbeat: ("heartbeat", _heartbeat),
+    SlotClaim: ("claim", _claim),
+    SlotVerdict: ("verdict", _verdict),
+    SlotRelease: ("release", _release),
+}
+
+_READERS = {
+    "relay": _read_relay,
+    "records": _read_records,
+    "heartbeat": _read_heartbeat,
+    "claim": _read_claim,
+    "verdict": _read_verdict,
+    "release": _read_release,
+}
--- a/kumquatshift/bench/watches.py
+++ b/kumquatshift/bench/watches.py
@@ -68,6 +68,9 @@
         opened_s = heard_s = self.clock.seconds()
         note = first
         while True:
+            if not note.code.is_successful():
+                cause = f"ended with {note.code}"
+                break
             if not self.accept(note):
                 cause = "wrong"
                 break
--- a/kumquatshift/engine/actions.py
+++ b/kumquatshift/engine/actions.py
@@ -23,6 +23,7 @@
     RESUMING = "resuming"
     SILENT = "silent"
     GIVEN_UP = "given-up"
+    CONTRADICTED = "contradicted"
 
 
 @dataclass(frozen=True, slots=True)
--- a/kumquatshift/engine/dump.py
+++ b/kumquatshift/engine/dump.py
@@ -46,6 +46,7 @@
     ready: bool
     incarnation: int
     settled: bool
+    seasoned: dict[str, bool]
     reader: bool
     ring: tuple[str, ...]
     reachable_domains: tuple[str, ...]
@@ -68,6 +69,7 @@
         ready=engine.ready,
         incarnation=node.members.incarnation,
         settled=node.settled(now),
+        seasoned=engine.seasoned,
         reader=engine.watching,
         ring=tuple(entry.name for entry in node.members.ring.entries),
         reachable_domains=tuple(sorted(node.members.reachable_domains)),
@@ -76,7 +78,7 @@
         members=tuple(_member(node, member, now) for member in _by_name(node)),
         versions=node.store.versions(),
         digest=f"{node.store.digest:016x}",
-        counters=dict(sorted(node.counters.items())),
+        counters=dict(sorted(engine.counters().items())),
     )
 
 
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -17,11 +17,13 @@
 from .node import Limits, Node
 from .objects import Kind, Versioned
 from .ports import Clock, Randomness
+from .request_router import RequestRouter
 from .ring import score
 from .router import Router
 from .sweep import Sweeper
 
 TICK_S = 0.25
+REQUEST_TICK_S = 0.05
 PAUSE_S = 1.5
 JOIN_S = 2.5
 MAX_JOIN_S = 5.0
@@ -43,7 +45,8 @@
 
     def __init__(self, node: Node):
         self.node = node
-        self._router = Router(node)
+        self._requests = RequestRouter(node)
+        self._router = Router(node, self._requests)
         self._sweeper = Sweeper(node)
         self._sequence = 0
         self._started_at = node.clock.seconds()
@@ -83,7 +86,9 @@
             return self._router.relay(message, now)
         if isinstance(message, RecordBatch):
             return self._router.records(peer, message, now)
-        return self._heartbeat(message, now)
+        if isinstance(message, Heartbeat):
+            return self._heartbeat(message, now)
+        return self._requests.slot_message(peer, message, now)
 
     def objects(self, objects: Iterable[Versioned]) -> list[Action]:
         """Take configuration objects, from the platform or from a peer."""
@@ -94,8 +99,9 @@
             return []
         self.node.counters["objects-merged"] += len(news)
         self._note_targets(before, now)
+        actions = self._requests.configure(now)
         self._refresh_ring(now)
-        return self._beats(now)
+        return actions + self._beats(now)
 
     def vms(self, vms: Iterable[Vm]) -> list[Action]:
         """Take the platform's list of VMs, which may lag or be wrong."""
@@ -109,12 +115,17 @@
         self._finish_joining(now)
         self._finish_resuming(now)
         self._refresh_ring(now)
-        actions = self._sweeper.step(now)
+        actions = self._requests.tick(now)
+        actions += self._sweeper.step(now)
         actions += self._watch()
         if now >= self._next_beat:
             actions += self._beats(now)
         return actions
 
+    def request_tick(self) -> list[Action]:
+        """Do what waiting requests need; to be called every `REQUEST_TICK_S`."""
+        return self._requests.tick(self._advance())
+
     def leave(self) -> list[Action]:
         """Start to leave: hand over what is held, and take no new part."""
         now = self._advance()
@@ -130,6 +141,15 @@
         now = self.node.clock.seconds()
         return handed_over and now - self._last_packet > quiet_s
 
+    @property
+    def seasoned(self) -> dict[str, bool]:
+        """For each request service, whether we know which requests are new."""
+        return self._requests.seasoned_for(self.node.clock.seconds())
+
+    def counters(self) -> dict[str, int]:
+        """Return what was counted, by cause."""
+        return dict(self.node.counters) | self._requests.counts
+
     def config_since(self, digests: tuple[int, ...]) -> list[Versioned]:
         """Return what a peer lacks whose bucket digests are given."""
         return self.node.store.differing(digests)
@@ -204,9 +224,11 @@
     def _refresh_ring(self, now):
         node = self.node
         include_me = node.state is EntryState.LIVE
-        if node.members.refresh(now, include_me):
-            node.ring_changed_at = now
-            self._sweeper.ring_changed()
+        if not node.members.refresh(now, include_me):
+            return
+        node.ring_changed_at = now
+        self._sweeper.ring_changed()
+        self._requests.ring_changed()
 
     def _beats(self, now):
         self._next_beat = now + self.node.timers.heartbeat_s
--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -40,6 +40,7 @@
         "domain",
         "hears_us",
         "incarnation",
+        "first_heard",
         "last_heard",
         "listed",
         "name",
@@ -54,6 +55,7 @@
         self.incarnation = 0
         self.sequence = 0
         self.state = EntryState.JOINING
+        self.first_heard = float("inf")
         self.last_heard = float("-inf")
         self.hears_us = False
         self.digest = 0
@@ -75,6 +77,7 @@
         self.timers = timers
         self.members: dict[str, Member] = {}
         self.ring = Ring([])
+        self.known = Ring([])
         self.reachable_domains: frozenset[str] = frozenset()
         self._domain_in = domain_in
         self._latest: dict[str, tuple[int, int]] = {}
@@ -102,6 +105,8 @@
             member.listed = False
             self.members[beat.name] = member
         self._latest[beat.name] = (beat.incarnation, beat.sequence)
+        if member.incarnation != beat.incarnation:
+            member.first_heard = now
         member.domain = beat.domain
         member.address = beat.address
         member.incarnation = beat.incarnation
@@ -131,22 +136,25 @@
             member.last_heard += gap_s
 
     def refresh(self, now: float, include_me: bool) -> bool:
-        """Work the ring out again; return True if it changed."""
+        """Work the rings out again; return True if that of live entries changed.
+
+        ``known`` also has the entries that are out of reach but may still run.
+        """
         self._forget(now)
         alive = [m for m in self.members.values() if self.alive(m, now)]
         reachable = {member.domain for member in alive}
         reachable.add(self.me.domain)
         self.reachable_domains = frozenset(reachable)
-        entries = [
-            RingEntry(member.name, member.domain, member.incarnation)
-            for member in alive
-            if member.state is EntryState.LIVE and self._domain_in(member.domain)
-        ]
+        serving = [m for m in self.members.values() if self._may_serve(m)]
+        known = [_ring_entry(member) for member in serving]
+        entries = [_ring_entry(member) for member in serving if self.alive(member, now)]
         if include_me and self._domain_in(self.me.domain):
             me = RingEntry(self.me.name, self.me.domain, self.incarnation)
             entries.append(me)
-        ring = Ring(entries)
-        if ring.entries == self.ring.entries:
+            known.append(me)
+        self.known = _kept_or_new(self.known, known)
+        ring = _kept_or_new(self.ring, entries)
+        if ring is self.ring:
             return False
         self.ring = ring
         return True
@@ -159,6 +167,9 @@
             if self.alive(member, now) and member.state is EntryState.LEAVING
         )
 
+    def _may_serve(self, member):
+        return member.state is EntryState.LIVE and self._domain_in(member.domain)
+
     def _forget(self, now):
         gone = [
             name
@@ -167,3 +178,13 @@
         ]
         for name in gone:
             del self.members[name]
+
+
+def _ring_entry(member):
+    return RingEntry(member.name, member.domain, member.incarnation)
+
+
+def _kept_or_new(ring, entries):
+    """Return the ring of these entries, the same object if nothing changed."""
+    new = Ring(entries)
+    return ring if new.entries == ring.entries else new
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -14,6 +14,7 @@
 from .flows import NEVER_S, STALE_S, Flow, prefer
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
+from .objects import Mode
 from .packets import (
     PROTOCOL_TCP,
     TCP_FIN,
@@ -26,6 +27,7 @@
     source,
     tcp_flags,
 )
+from .request_router import RequestRouter
 from .resets import reset_caller, reset_target
 from .ring import bucket_of
 from .store import ServiceView
@@ -43,8 +45,9 @@
 class Router:
     """Packet decisions of one entry."""
 
-    def __init__(self, node: Node):
+    def __init__(self, node: Node, requests: RequestRouter):
         self._node = node
+        self._requests = requests
         self._answered: dict[str, float] = {}
 
     def packet(self, data: bytes, now: float) -> list[Action]:
@@ -60,7 +63,7 @@
         if view is not None:
             return self._from_caller(view, data, now)
         if source(data) in by_address:
-            return self._from_target(data, now)
+            return self._take_answer(Relay(data, Direction.TO_CALLER), now)
         return [node.drop(DropReason.UNKNOWN_SERVICE)]
 
     def relay(self, relay: Relay, now: float) -> list[Action]:
@@ -73,10 +76,12 @@
         if node.resuming:
             return [node.drop(DropReason.RESUMING)]
         if relay.direction is Direction.TO_CALLER:
-            return self._answer(data, now)
+            return self._take_answer(relay, now)
         view = node.store.by_address.get(destination(data))
         if view is None:
             return [node.drop(DropReason.UNKNOWN_SERVICE)]
+        if relay.record is not None and view.profile.mode is Mode.REQUEST:
+            return self._requests.hold(relay, view, now)
         if relay.record is not None:
             return self._pass_on(relay, view, now)
         return self._redirect(relay, view, now)
@@ -85,6 +90,9 @@
         """Take in copies of records; tell the sender of any that are better."""
         better = []
         for record in batch.records:
+            if record.detail:
+                self._requests.adopt(record, now)
+                continue
             own = self._own(record.key)
             best = prefer(own and own.record, record)
             if own is not None and best is own.record:
@@ -101,7 +109,7 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = holders[0].name
+        primary = self._primary(view, bucket, holders)
         if primary == node.name:
             return self._decide(view, key, bucket, data, now)
         flow = node.flows.get(key)
@@ -123,7 +131,7 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = holders[0].name
+        primary = self._primary(view, bucket, holders)
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
@@ -133,6 +141,8 @@
     def _decide(self, view, key, bucket, data, now):
         """Decide as the flow's primary."""
         node = self._node
+        if view.profile.mode is Mode.REQUEST:
+            return self._requests.from_caller(view, data, now)
         flow = node.flows.get(key)
         if flow is None:
             return self._open(view, key, bucket, data, now, epoch=0)
@@ -223,17 +233,29 @@
         batch = RecordBatch((record,))
         return [SendPeer(name, batch) for name in sorted(names)]
 
-    def _from_target(self, data, now):
-        """Pass an answer to the flow's primary, which has to see it."""
+    def _take_answer(self, relay, now):
+        """Decide on an answer as its primary, or pass it to the one that is."""
         node = self._node
-        bucket = bucket_of(reverse_key(data))
+        bucket = bucket_of(reverse_key(relay.data))
         holders = node.members.ring.holders(bucket)
-        if not holders or holders[0].name == node.name:
-            return self._answer(data, now)
-        relay = Relay(data, Direction.TO_CALLER, "", (), (node.name,))
-        return [SendPeer(holders[0].name, relay)]
+        view = node.store.by_address.get(source(relay.data))
+        if not holders or view is None:
+            return self._answer(view, relay.data, now)
+        primary = self._primary(view, bucket, holders)
+        visited = relay.visited
+        looped = primary in visited or len(visited) >= MAX_REDIRECTS
+        if primary == node.name or looped:
+            return self._answer(view, relay.data, now)
+        return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
+
+    def _primary(self, view, bucket, holders):
+        if view.profile.mode is Mode.REQUEST:
+            return self._requests.primary(view, bucket)
+        return holders[0].name
 
-    def _answer(self, data, now):
+    def _answer(self, view, data, now):
+        if view is not None and view.profile.mode is Mode.REQUEST:
+            return self._requests.from_target(data, now)
         flow = self._node.flows.get(reverse_key(data))
         if flow is not None:
             flow.last_seen = now
--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -61,8 +61,8 @@
     if cfg.platform.url:
         driver.use_platform(_platform(cfg, reactor))
     listen_admin(reactor, cfg.entry.address, cfg.entry.admin_port, driver)
-    driver.start()
     server = _serve_control(cfg, driver)
+    server.add_done_callback(lambda _: driver.start())
     reactor.addSystemEventTrigger("before", "shutdown", driver.drain)
     reactor.addSystemEventTrigger("during", "shutdown", _stop, control, server)
     reactor.run()
