--- a/kumquatshift/standins/packets.py
+++ b/kumquatshift/standins/packets.py
@@ -1,4 +1,4 @@
-"""IPv4 packets that carry one UDP datagram, as callers and targets see them."""
+"""IPv4 packets that carry one UDP datagram or TCP segment."""
 
 import socket
 from dataclasses import dataclass
@@ -6,6 +6,7 @@
 import dpkt
 
 TTL_HOPS = 64
+SEQUENCE_MASK = 0xFFFFFFFF
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,27 +44,76 @@
         """Return the IPv4 packet, checksums included."""
         udp = dpkt.udp.UDP(sport=self.src.port, dport=self.dst.port, data=self.payload)
         udp.ulen = len(udp)
-        return pack_ip(self.src.host, self.dst.host, dpkt.ip.IP_PROTO_UDP, udp)
+        return pack_ip(self.src, self.dst, dpkt.ip.IP_PROTO_UDP, udp)
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """One TCP segment with both of its ends (RFC 9293, section 3.1).
+
+    ``seq`` and ``ack`` are taken modulo 2**32; ``ack`` is None in a segment
+    that acknowledges nothing.
+    """
+
+    src: Endpoint
+    dst: Endpoint
+    seq: int
+    ack: int | None = None
+    payload: bytes = b""
+    window: int = 0
+    syn: bool = False
+    fin: bool = False
+    rst: bool = False
+
+    @property
+    def length(self):
+        """How many sequence numbers the segment takes up."""
+        return len(self.payload) + self.syn + self.fin
+
+    @property
+    def flags(self):
+        """The flags byte."""
+        return (
+            dpkt.tcp.TH_SYN * self.syn
+            | dpkt.tcp.TH_FIN * self.fin
+            | dpkt.tcp.TH_RST * self.rst
+            | dpkt.tcp.TH_ACK * (self.ack is not None)
+        )
+
+    def pack(self):
+        """Return the IPv4 packet, checksums included."""
+        tcp = dpkt.tcp.TCP(
+            sport=self.src.port,
+            dport=self.dst.port,
+            seq=self.seq & SEQUENCE_MASK,
+            ack=(self.ack or 0) & SEQUENCE_MASK,
+            flags=self.flags,
+            win=self.window,
+            data=self.payload,
+        )
+        return pack_ip(self.src, self.dst, dpkt.ip.IP_PROTO_TCP, tcp)
 
     @classmethod
-    def unpack(cls, data):
-        """Read an IPv4 packet; return None unless it is whole and carries UDP."""
-        ip = unpack_ip(data)
-        if ip is None or not isinstance(ip.data, dpkt.udp.UDP):
-            return None
-        udp = ip.data
+    def from_tcp(cls, src, dst, tcp):
+        """Return the segment of a parsed TCP header."""
         return cls(
-            Endpoint(socket.inet_ntoa(ip.src), udp.sport),
-            Endpoint(socket.inet_ntoa(ip.dst), udp.dport),
-            bytes(udp.data),
+            src,
+            dst,
+            seq=tcp.seq,
+            ack=tcp.ack if tcp.flags & dpkt.tcp.TH_ACK else None,
+            payload=bytes(tcp.data),
+            window=tcp.win,
+            syn=bool(tcp.flags & dpkt.tcp.TH_SYN),
+            fin=bool(tcp.flags & dpkt.tcp.TH_FIN),
+            rst=bool(tcp.flags & dpkt.tcp.TH_RST),
         )
 
 
 def pack_ip(src, dst, protocol, body):
     """Return the IPv4 packet that carries ``body`` from ``src`` to ``dst``."""
     ip = dpkt.ip.IP(
-        src=socket.inet_aton(src),
-        dst=socket.inet_aton(dst),
+        src=socket.inet_aton(src.host),
+        dst=socket.inet_aton(dst.host),
         p=protocol,
         ttl=TTL_HOPS,
         data=body,
@@ -72,12 +122,34 @@
     return bytes(ip)
 
 
-def unpack_ip(data):
-    """Read an IPv4 packet; return None when it is malformed or a fragment."""
+def unpack(data) -> Datagram | Segment | None:
+    """Read an IPv4 packet as a receiving host does.
+
+    Returns None when it is malformed, a fragment, or not of UDP or TCP, or
+    when a checksum is wrong.
+    """
     try:
         ip = dpkt.ip.IP(data)
     except (dpkt.UnpackError, IndexError, ValueError):
         return None
     if ip.v != 4 or ip.len != len(data) or ip.mf or ip.offset:
         return None
-    return ip
+    body = ip.data
+    if not isinstance(body, (dpkt.udp.UDP, dpkt.tcp.TCP)) or not is_intact(data, ip):
+        return None
+    src = Endpoint(socket.inet_ntoa(ip.src), body.sport)
+    dst = Endpoint(socket.inet_ntoa(ip.dst), body.dport)
+    if isinstance(body, dpkt.udp.UDP):
+        return Datagram(src, dst, bytes(body.data))
+    return Segment.from_tcp(src, dst, body)
+
+
+def is_intact(data, ip):
+    """Tell whether the checksums of a packet are right; UDP may leave it out."""
+    header, body = data[: ip.hl * 4], data[ip.hl * 4 :]
+    if dpkt.in_cksum(header):
+        return False
+    if ip.p == dpkt.ip.IP_PROTO_UDP and not ip.data.sum:
+        return True
+    pseudo_header = ip.src + ip.dst + bytes([0, ip.p]) + len(body).to_bytes(2)
+    return not dpkt.in_cksum(pseudo_header + body)
