--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -69,6 +69,10 @@
         settings = str(DIRECTORY / f"{name}.ini")
         self.runner.start(name, [*command, settings], output)
 
+    def start_entry(self, name):
+        """Start one entry."""
+        self.start(name, [*self.entry_command, "start"])
+
     def ctl(self, *args):
         """Run `kumquat-ctl`; raise when it fails."""
         self.say("kumquat-ctl " + " ".join(args))
@@ -98,7 +102,7 @@
         for name in self.site["targets"]:
             self.start(name, [standin, "target"])
         for name in self.site["entries"]:
-            self.start(name, self.entry_command)
+            self.start_entry(name)
         self.wait_ready()
 
     def wait_ready(self):
@@ -162,7 +166,7 @@
     def restart(self, name):
         """Start a killed entry again."""
         self.say(f"start {name} again")
-        self.start(name, self.entry_command)
+        self.start_entry(name)
 
     def died(self):
         """Return the processes that ended though they should not have."""
