--- /dev/null
+++ b/tests/support/lossy.py
@@ -0,0 +1,107 @@
+"""Two ends of a TCP connection on a clock, joined by a link with faults."""
+
+import random
+from dataclasses import dataclass
+
+from twisted.internet.task import Clock
+
+from kumquatshift.standins.bridge import StreamTable
+from kumquatshift.standins.packets import Endpoint, unpack
+from kumquatshift.standins.segments import State
+
+CALLER = Endpoint("127.12.8.1", 40000)
+SERVICE = Endpoint("127.12.9.1", 8080)
+DELAY_S = 0.002
+STEP_S = 0.01
+
+
+@dataclass(frozen=True)
+class LinkFaults:
+    """How likely each fault is; ``spread_s`` lets packets overtake each other."""
+
+    loss: float = 0.0
+    duplicate: float = 0.0
+    spread_s: float = 0.0
+    seed: int = 0
+
+
+class Owner:
+    """Writes down what happens to its stream; may read slowly."""
+
+    def __init__(self, chunks=(), is_slow=False):
+        self.chunks = list(chunks)
+        self.is_slow = is_slow
+        self.stream = None
+        self.received = bytearray()
+        self.events = []
+
+    def attach(self, stream):
+        self.stream = stream
+
+    def stream_opened(self):
+        self.events.append("opened")
+        for chunk in self.chunks:
+            self.stream.write(chunk)
+        self.stream.close()
+
+    def stream_received(self, data):
+        self.received += data
+        if self.is_slow:
+            self.stream.pause()
+
+    def stream_finished(self):
+        self.events.append("finished")
+
+    def stream_drained(self):
+        pass
+
+    def stream_lost(self, reason):
+        self.events.append(f"lost: {reason}")
+
+
+class Link:
+    """A caller and a service, and the link that carries their packets."""
+
+    def __init__(self, faults, caller, service):
+        self.clock = Clock()
+        self.faults = faults
+        self.rng = random.Random(faults.seed)
+        self.is_cut = False
+        self.most_held = 0
+        self.caller, self.service = caller, service
+        self.near = StreamTable(self.clock, lambda seg: self.carry(seg, self.far))
+        self.far = StreamTable(
+            self.clock, lambda seg: self.carry(seg, self.near), lambda: service
+        )
+
+    def open(self):
+        self.caller.attach(self.near.connect(CALLER, SERVICE, self.caller))
+
+    def carry(self, segment, table):
+        packet = segment.pack()
+        copies = 1 + (self.rng.random() < self.faults.duplicate)
+        for _ in range(copies):
+            if self.is_cut or self.rng.random() < self.faults.loss:
+                continue
+            delay_s = DELAY_S + self.faults.spread_s * self.rng.random()
+            self.clock.callLater(delay_s, self.arrive, packet, table)
+
+    @staticmethod
+    def arrive(packet, table):
+        table.receive(unpack(packet))
+
+    def run(self, limit_s):
+        """Let time pass until both ends are over, or for ``limit_s``."""
+        for _ in range(round(limit_s / STEP_S)):
+            self.clock.advance(STEP_S)
+            for owner in (self.caller, self.service):
+                if owner.is_slow and owner.stream and owner.stream.into:
+                    self.most_held = max(self.most_held, len(owner.stream.into.held))
+                    owner.stream.resume()
+            if not self.near.streams and not self.far.streams:
+                return
+
+    @property
+    def is_over(self):
+        done = (State.TIME_WAIT, State.OVER)
+        return all(o.stream.state in done for o in (self.caller, self.service))
