--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -46,7 +46,11 @@
 
 def is_ready(host, port=ADMIN_PORT):
     """Tell whether the process at ``host`` says that it is ready."""
-    return fetch(f"http://{host}:{port}/ready") is not None
+    try:
+        with urllib.request.urlopen(f"http://{host}:{port}/ready", timeout=2):
+            return True
+    except OSError:
+        return False
 
 
 class Demo:
--- a/kumquatshift/bench/site.py
+++ b/kumquatshift/bench/site.py
@@ -6,7 +6,7 @@
 
 import treq
 
-from kumquatshift.engine.objects import DomainState, Kind
+from ..engine.objects import DomainState, Kind
 
 TIMEOUT_S = 2.0
 ADMIN_PORT = 7300
@@ -16,10 +16,12 @@
 class Outage:
     """One time for which operators had a domain out, in seconds since the epoch.
 
-    ``until_s`` is the last moment at which the domain was seen to be out.
+    It began after ``after_s``, when the domain was last seen in service, and by
+    ``since_s``. ``until_s`` is the last moment at which it was seen to be out.
     """
 
     domain: str
+    after_s: float
     since_s: float
     until_s: float
 
@@ -68,18 +70,19 @@
         if not is_out:
             self.out_now.pop(name, None)
         elif outage is None:
-            outage = Outage(name, answered_s, asked_s)
+            after_s = asked_s if self.seen_s is None else self.seen_s
+            outage = Outage(name, after_s, answered_s, asked_s)
             self.out_now[name] = outage
             self.outages.append(outage)
         else:
             outage.until_s = asked_s
 
     def was_out(self, target, since_s, until_s):
-        """Tell whether the target's domain was out at any time in between."""
+        """Tell whether the target's domain may have been out at a time in between."""
         known = self.targets.get(target)
         return known is not None and any(
             outage.domain == known.domain
-            and outage.since_s <= until_s
+            and outage.after_s <= until_s
             and outage.until_s >= since_s
             for outage in self.outages
         )
--- a/kumquatshift/bench/tally.py
+++ b/kumquatshift/bench/tally.py
@@ -19,11 +19,16 @@
 
 @dataclass(frozen=True)
 class LostRequest:
-    """A request that got no answer, and what the caller saw instead."""
+    """A request that got no answer, and what the caller saw instead.
+
+    ``target`` is the one that gave this caller its last answer.
+    """
 
     ident: str
     service: str
     sent_s: float
+    lost_s: float
+    target: str
     cause: str
 
 
--- a/kumquatshift/bench/watches.py
+++ b/kumquatshift/bench/watches.py
@@ -5,13 +5,15 @@
 
 import aiocoap
 from aiocoap import GET, Message
-from loguru import logger
 
-from .requests import client_context
+from ..logs import Part, logger_for
+from .exchange import client_context
 from .tally import BrokenWatch
 
 REOPEN_DELAY_S = 1.0
 
+log = logger_for(Part.BENCH)
+
 
 class WatchCaller:
     """Keeps one watch (RFC 7641) open; when it breaks, opens the next one."""
@@ -60,7 +62,7 @@
     def fail_to_open(self, cause):
         """Count a watch that did not come about."""
         if not self.stopped:
-            logger.info("bench: watch {} was not opened, {}.", self.name, cause)
+            log.info("Watch {} was not opened: {}.", self.name, cause)
             self.tally.count(f"watch-not-opened {cause}", self.service)
 
     async def follow(self, first, notifications):
@@ -102,7 +104,7 @@
         if self.stopped:
             return
         now_s = self.clock.seconds()
-        logger.info("bench: watch {} on {} broke, {}.", self.name, self.target, cause)
+        log.info("Watch {} on {} broke: {}.", self.name, self.target, cause)
         self.tally.broken.append(
             BrokenWatch(self.service, self.target, opened_s, heard_s, now_s, cause)
         )
--- a/kumquatshift/standins/application.py
+++ b/kumquatshift/standins/application.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 from collections import OrderedDict
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from aiocoap import CHANGED, CONTENT, SERVICE_UNAVAILABLE, Message
@@ -11,6 +10,7 @@
 from twisted.internet import defer
 from twisted.internet.task import LoopingCall
 
+from ..settings.standins import TargetStandinSection
 from .capacity import Capacity, CapacitySettings, OverloadError
 
 FEED_PERIOD_S = 1.0
@@ -28,9 +28,9 @@
     capacity: CapacitySettings = field(default_factory=CapacitySettings)
 
     @classmethod
-    def from_config(cls, cfg: Mapping[str, str]):
-        """Read ``name``, ``service`` and the settings of the capacity."""
-        return cls(cfg["name"], cfg["service"], CapacitySettings.from_config(cfg))
+    def from_config(cls, cfg: TargetStandinSection):
+        """Return what a target's settings say of its application."""
+        return cls(cfg.name, cfg.service, CapacitySettings.from_config(cfg))
 
 
 class RunLog:
--- a/kumquatshift/standins/decapsulator.py
+++ b/kumquatshift/standins/decapsulator.py
@@ -54,6 +54,8 @@
         relay(packet)
 
     def answer(self, packet):
-        """Send a packet on its way to the caller."""
+        """Send a packet on its way to the caller, unless the port is closed."""
+        if self.transport is None:
+            return
         self.counters["answered"] += 1
         self.transport.write(packet.pack(), (self.fabric.host, self.fabric.port))
