--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,6 @@
 test: $(STAMP)  ## Run every test; ends with `N passed, N failed`.
 	$(PYTHON) -m tests.runner
 
-demo: $(STAMP)  ## Run a whole site under load on loopback; ends within 60 s.
-	$(PYTHON) extras/demo/run.py
-
 site: $(STAMP)  ## Start the demo's site without its load; stays until Ctrl-C.
 	$(PYTHON) extras/demo/serve.py
 
@@ -42,6 +39,9 @@
 samples: $(STAMP)  ## Make the sample settings and their page again.
 	$(PYTHON) -m kumquatshift.settings.sample
 
+demo: $(STAMP)  ## Run a whole site under load on loopback; ends within 60 s.
+	$(PYTHON) extras/demo/run.py
+
 proto: $(STAMP)  ## Make the committed protobuf and gRPC code again.
 	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
 		kumquatshift/wire/entry.proto
