--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -46,7 +46,11 @@
 
 def is_ready(host, port=ADMIN_PORT):
     """Tell whether the process at ``host`` says that it is ready."""
-    return fetch(f"http://{host}:{port}/ready") is not None
+    try:
+        with urllib.request.urlopen(f"http://{host}:{port}/ready", timeout=2):
+            return True
+    except OSError:
+        return False
 
 
 class Demo:
@@ -69,6 +73,10 @@
         settings = str(DIRECTORY / f"{name}.ini")
         self.runner.start(name, [*command, settings], output)
 
+    def start_entry(self, name):
+        """Start one entry."""
+        self.start(name, [*self.entry_command, "start"])
+
     def ctl(self, *args):
         """Run `kumquat-ctl`; raise when it fails."""
         self.say("kumquat-ctl " + " ".join(args))
@@ -98,7 +106,7 @@
         for name in self.site["targets"]:
             self.start(name, [standin, "target"])
         for name in self.site["entries"]:
-            self.start(name, self.entry_command)
+            self.start_entry(name)
         self.wait_ready()
 
     def wait_ready(self):
@@ -169,7 +177,7 @@
     def restart(self, name):
         """Start a killed entry again."""
         self.say(f"start {name} again")
-        self.start(name, self.entry_command)
+        self.start_entry(name)
 
     def died(self):
         """Return the processes that ended though they should not have."""
