--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -27,20 +27,18 @@
 COPY_SHARE = 0.6
 
 
-class Program:
+class Commands:
     """Takes packets from the fabric, decides for each flow, and forwards."""
 
     def __init__(self, env: Environment):
         self._env = env
 
-    def entry(self, settings, check=False):
-        """Run one entry of the load balancer until SIGTERM or SIGINT.
+    def check(self, settings):
+        """Check a settings file and tell every mistake; start nothing."""
+        return check_settings(EntrySettings, settings, self._env)
 
-        It hands its flows over before it ends. With --check it starts nothing
-        and tells every mistake of the settings file.
-        """
-        if check:
-            return check_settings(EntrySettings, settings, self._env)
+    def start(self, settings):
+        """Run one entry until SIGTERM or SIGINT; it hands its flows over then."""
         loaded = EntrySettings.load(settings)
         if not is_successful(loaded):
             return tell_problems(settings, loaded, self._env)
@@ -102,9 +100,8 @@
 
 def main(args: list[str], env: Environment) -> ExitStatus:
     """Run the program with the arguments of a command line."""
-    entry = Program(env).entry
     return fire.Fire(
-        entry, command=args, name="kumquat-entry", serialize=lambda _: None
+        Commands(env), command=args, name="kumquat-entry", serialize=lambda _: None
     )
 
 
