--- a/kumquatshift/engine/allowance.py
+++ b/kumquatshift/engine/allowance.py
@@ -21,6 +21,7 @@
 WORK_HALF_LIFE_S = 30.0
 SAMPLES_FOR_JUMP = 8
 FAILURES_FOR_PAUSE = 5
+LATENCY_GUESS_S = 0.1
 
 
 @dataclass
@@ -44,6 +45,7 @@
     pause_s: float = PAUSE_MIN_S
     work_s: float = 0.0
     worked_at: float = 0.0
+    foreign: list[float] = field(default_factory=list)
     hint: float = 0.0
     hinted_at: float = -HINT_MAX_AGE_S
 
@@ -64,7 +66,9 @@
         own reservation competes for what nobody has reserved. While the
         target is cold nothing is reserved.
         """
-        if now < self.paused_until or self.used >= int(self.limit):
+        if now < self.paused_until:
+            return False
+        if self.used + self.foreign_used(now) >= int(self.limit):
             return False
         if not self.is_warm:
             return True
@@ -78,6 +82,14 @@
         )
         return taken < shared
 
+    def foreign_used(self, now: float) -> int:
+        """Estimate the requests in flight that another entry sent."""
+        if not self.foreign:
+            return 0
+        since = now - (self.latency_s or LATENCY_GUESS_S)
+        self.foreign = [at for at in self.foreign if at > since]
+        return len(self.foreign)
+
     def start(self, service: str):
         """Note that a request goes to the target."""
         self.in_flight[service] = self.in_flight.get(service, 0) + 1
@@ -128,6 +140,13 @@
         """Note that a request ended without telling anything of the target."""
         self._end(service, 0.0, now)
 
+    def learn(self, limit: int, now: float):
+        """Note that another entry sent a request, and what it allows."""
+        if limit < int(self.limit):
+            self.turn_cold(now)
+        self.limit = min(self.ceiling, max(COLD_LIMIT, limit))
+        self.foreign = [*self.foreign[1 - self.ceiling :], now]
+
     def turn_cold(self, now: float):
         """Start again from one request at a time."""
         self.limit = COLD_LIMIT
--- a/kumquatshift/engine/dispatch.py
+++ b/kumquatshift/engine/dispatch.py
@@ -25,6 +25,9 @@
 #: A standby hears nothing of a watch, and keeps it this many idle times long.
 STANDBY_IDLE_TIMES = 2
 
+#: A caller may repeat a request for so long (RFC 7252, section 4.8.2).
+MAX_TRANSMIT_SPAN_S = 45.0
+
 SALT_RANGE = 1 << 32
 
 CAUSES = {
@@ -36,7 +39,11 @@
 
 
 class Standing(Protocol):
-    """What the entry knows of its own part in a flow."""
+    """What the entry knows of its own part in a flow.
+
+    All flows of one service should have the same primary: the slots of its
+    targets are then counted in one place.
+    """
 
     def is_primary(self, flow: bytes) -> bool:
         """Tell whether this entry decides for the flow now."""
@@ -45,9 +52,10 @@
     def is_certain(self, flow: bytes) -> bool:
         """Tell whether no other entry can have decided, or can now decide.
 
-        False for as long as a request may live after this entry took the flow
-        over without its records, and while too few of the flow's holders are
-        in reach for every decision to pass one that also saw the others.
+        False for `MAX_TRANSMIT_SPAN_S` after this entry started, or took the
+        flow over without its records, and while fewer than two of the flow's
+        three holders, this one included, are in reach and have run that long:
+        any two decisions then pass a holder that sees both.
         """
         ...
 
@@ -227,6 +235,7 @@
 
     def _send(self, exchange, target, now):
         exchange.holds_slot = True
+        exchange.target_limit = self.pool.limit_of(target)
         exchange.next_try(target, self.randomness.randrange(SALT_RANGE), now)
         self.exchanges.add(exchange)
         self.watch_out(exchange, now + self._try_s(exchange))
--- a/kumquatshift/engine/exchanges.py
+++ b/kumquatshift/engine/exchanges.py
@@ -23,9 +23,11 @@
 #: Messages of the target whose ids are remembered for the caller's ACK or RST.
 OPEN_MIDS = 8
 
+LIMIT_MAX = 255
+
 KINDS = list(ErrorKind)
 DETAIL = struct.Struct(
-    f"!BBBBHBH{WIRE_TOKEN_BYTES}s{DIGEST_BYTES}s{PATH_DIGEST_BYTES}s"
+    f"!BBBBHBHB{WIRE_TOKEN_BYTES}s{DIGEST_BYTES}s{PATH_DIGEST_BYTES}s"
 )
 
 
@@ -59,6 +61,8 @@
     for every try, so that no other request's answer, and no answer of an
     earlier try, can be taken for the answer to this one. ``digest`` tells a
     repeated packet from another request that uses the same ids again.
+    ``target_limit`` is what the target was allowed in flight at that time, so
+    that a standby that takes over knows which targets are warm.
     """
 
     flow: bytes
@@ -71,6 +75,7 @@
     attempt: int = 0
     phase: Phase = Phase.WAITING
     target: str = ""
+    target_limit: int = 0
     tried: frozenset[str] = frozenset()
     sent_at: float = 0.0
     heard_at: float = 0.0
@@ -161,6 +166,7 @@
             self.header.mid,
             kind << 1 | self.is_watch,
             self.max_age_s,
+            min(LIMIT_MAX, self.target_limit),
             self.wire_token.ljust(WIRE_TOKEN_BYTES, b"\0"),
             self.digest,
             self.path_digest,
@@ -171,9 +177,10 @@
         cls, record: Record, service: str, timeout_s: float, now: float
     ) -> "Exchange":
         """Unpack an exchange that another entry decided."""
-        (phase, attempt, kind_of, code, mid, flags, max_age_s, wire, digest, path) = (
+        (phase, attempt, kind_of, code, mid, flags, max_age_s, limit, *digests) = (
             DETAIL.unpack(record.detail)
         )
+        wire, digest, path = digests
         token = record.key[FLOW_BYTES:]
         born = record.born_ms / MS_PER_S
         kind = KINDS[(flags >> 1) - 1] if flags >> 1 else None
@@ -188,6 +195,7 @@
             attempt=attempt,
             phase=Phase(phase),
             target=record.target,
+            target_limit=limit,
             tried=frozenset({record.target} if record.target else ()),
             sent_at=now,
             heard_at=now,
--- a/kumquatshift/engine/requests.py
+++ b/kumquatshift/engine/requests.py
@@ -131,6 +131,7 @@
         """
         timeout_s = self.dispatcher.profile(service).request_timeout_s
         fresh = Exchange.from_record(record, service, timeout_s, now)
+        self.dispatcher.pool.learn(fresh.target, fresh.target_limit, now)
         known = self.exchanges.by_token(fresh.flow, fresh.header.token)
         if known is None:
             self._take(fresh, now)
--- a/kumquatshift/engine/slots.py
+++ b/kumquatshift/engine/slots.py
@@ -6,12 +6,11 @@
 from enum import StrEnum
 from statistics import median
 
-from .allowance import Allowance
+from .allowance import LATENCY_GUESS_S, Allowance
 from .objects import Priority, Profile, Target, TargetState
 from .priority import Claim, ClaimQueue
 
 QUEUE_PER_SLOT = 4
-SERVICE_TIME_GUESS_S = 0.1
 SERVICE_TIME_WEIGHT = 1 / 32
 RESERVED_SHARE_MAX = 0.75
 
@@ -71,7 +70,7 @@
 
 @dataclass(slots=True)
 class _ServiceTimes:
-    mean_s: float = SERVICE_TIME_GUESS_S
+    mean_s: float = LATENCY_GUESS_S
 
     def learn(self, latency_s):
         self.mean_s += SERVICE_TIME_WEIGHT * (latency_s - self.mean_s)
@@ -179,6 +178,18 @@
         if host in self.hosts:
             self.hosts[host].turn_cold(now)
 
+    def limit_of(self, target: str) -> int:
+        """Return how many requests a target may have in flight; 0 if unknown."""
+        member = self.targets.get(target)
+        return int(self.hosts[member.host].limit) if member else 0
+
+    def learn(self, target: str, limit: int, now: float):
+        """Take over what another entry allows a target, unless in use from here."""
+        member = self.targets.get(target)
+        if member is None or not limit or self.hosts[member.host].used:
+            return
+        self.hosts[member.host].learn(limit, now)
+
     def wait_s(self, service: str, priority: Priority) -> float:
         """Estimate how long a new claim of this priority would wait."""
         slots = self._slots(service)
@@ -289,4 +300,4 @@
 
     def _mean_s(self, service):
         times = self._times.get(service)
-        return times.mean_s if times else SERVICE_TIME_GUESS_S
+        return times.mean_s if times else LATENCY_GUESS_S
--- a/tests/features/allowance.feature
+++ b/tests/features/allowance.feature
@@ -44,6 +44,12 @@
       | 1.0  | 0   | 0    | not chosen |
       | 0.0  | 0   | 1    | not chosen |
 
+  Scenario: A standby that takes over knows which targets are warm
+    Given a request policy
+    When requests went to 2 warm targets and a standby takes over
+    Then the standby allows 2 targets 2 requests at once, and the others 1
+    And the standby sends 4 requests now, and 2 more a moment later
+
   Scenario: Services on one host share its slots
     Given a slot pool of 2 hosts that serve 2 services
     When 9 claims of each service come
