--- a/kumquatshift/measures/allowances.py
+++ b/kumquatshift/measures/allowances.py
@@ -11,12 +11,14 @@
 
 from tabulate import tabulate
 
+from ..engine.allowance import Allowance
 from ..engine.objects import Target
 from ..engine.priority import Claim
 from ..engine.slots import Granted, Outcome, Rejected, Rejection, SlotPool
 from .load_model import (
     PLAIN,
     SERVICE_S,
+    TICK_S,
     Load,
     Model,
     site_targets,
@@ -124,6 +126,32 @@
         return max(low, 1e-3)
 
 
+class ConfidenceAllowance(Allowance):
+    """Grows only when a confidence bound says that the target bears it.
+
+    The bound is the lower one on the chance that a request at the present
+    limit is answered in a usual time; it must pass `BOUND_TO_GROW`.
+    """
+
+    def good(self, service: str, latency_s: float, peers_s: float, now: float):
+        """Note an answer; with no jump and enough of them, allow one more."""
+        seen = self.good_in_row
+        super().good(service, latency_s, peers_s, now)
+        if self.good_in_row > seen and self._bound() < BOUND_TO_GROW:
+            return
+        self.limit = min(self.ceiling, self.limit + (self.good_in_row > seen))
+
+    def _seems_warm(self, peers_s, now):
+        return False
+
+    def _bound(self):
+        answers = max(2, self.good_in_row)
+        return math.exp(-math.log(answers) / answers)
+
+
+BOUND_TO_GROW = 0.9
+
+
 def _divergence(mean, other):
     mean = min(max(mean, 1e-9), 1 - 1e-9)
     other = min(max(other, 1e-9), 1 - 1e-9)
@@ -216,6 +244,14 @@
     model.route = lambda flow: [0]
 
 
+def _primary_with_bounds(model):
+    """Let growth of the allowances wait for confidence bounds."""
+    _primary_per_service(model)
+    hosts = model.pools[0].hosts
+    for host, allowance in hosts.items():
+        hosts[host] = ConfidenceAllowance(allowance.ceiling, allowance.since)
+
+
 SCHEMES = (
     Scheme("naive round robin", 2, _naive),
     Scheme("independent shares", 2, _independent),
@@ -226,6 +262,7 @@
     Scheme("owner per service", 5, lambda model: _owner_per(model, lambda t: "")),
     Scheme("primary per domain", 2, _primary_per_domain),
     Scheme("primary per service", 2, _primary_per_service),
+    Scheme("the same, bounds for growth", 2, _primary_with_bounds),
 )
 
 
@@ -251,6 +288,7 @@
 def with_cold_start(scheme: Scheme, seed: int = SEED) -> Model:
     """Admit one target that is cold, at 70% of the capacity."""
     model = build(scheme, seed)
+    _note_when_warm(model, "h0")
     cold = model.targets["h0"]
     cold.turn_cold()
     for pool in model.pools:
@@ -261,6 +299,20 @@
     return model
 
 
+def _note_when_warm(model, host):
+    """Set ``model.warm_at`` once a decider gives the host all its slots."""
+
+    def look():
+        pools = [pool for pool in model.pools if host in getattr(pool, "hosts", ())]
+        now = model.timeline.now
+        if now and any(pool.hosts[host].is_warm for pool in pools):
+            model.warm_at = now
+        else:
+            model.timeline.later(TICK_S, look)
+
+    look()
+
+
 def with_silent_turn(scheme: Scheme, seed: int = SEED) -> Model:
     """Let a target turn cold without a sign, three times, at 70%."""
     model = build(scheme, seed)
@@ -310,6 +362,7 @@
         scheme.messages,
         sum(target.overloads for target in steady.targets.values()),
         start.targets["h0"].cold_overloads,
+        "" if start.warm_at is None else f"{start.warm_at:.1f}",
         turn.targets["h1"].cold_overloads,
         start.targets["h0"].falls + turn.targets["h1"].falls,
         liar.tallies[SERVICE].shed,
@@ -327,6 +380,7 @@
     "messages",
     "overloads, 70%",
     "overloads, cold start",
+    "warm after s",
     "overloads, silent turns",
     "falls",
     "failed, liar",
--- a/kumquatshift/measures/load_model.py
+++ b/kumquatshift/measures/load_model.py
@@ -204,6 +204,7 @@
         self.route: Callable[[int], list[int]] = lambda decider: [decider]
         self.hops = 3
         self.weights = [1.0]
+        self.warm_at: float | None = None
         self._waiting: dict[bytes, Request] = {}
         self._numbers = count()
 
