--- a/kumquatshift/engine/flows.py
+++ b/kumquatshift/engine/flows.py
@@ -15,6 +15,8 @@
     from ``tentative_until`` on; only the entry that decides for the flow sets it.
     ``unanswered`` counts the caller's packets since the last answer, the first of
     them at ``unanswered_since``; ``answered`` tells whether any answer ever came.
+    ``proven`` tells whether the record is known to have reached every holder, and
+    ``placings`` counts the packets that carried it without a proof.
     """
 
     __slots__ = (
@@ -24,6 +26,8 @@
         "holders",
         "last_seen",
         "placed_at",
+        "placings",
+        "proven",
         "record",
         "tentative_until",
         "unanswered",
@@ -36,6 +40,8 @@
         self.last_seen = now
         self.holders: tuple[RingEntry, ...] = ()
         self.placed_at = STALE_S
+        self.placings = 0
+        self.proven = False
         self.tentative_until = NEVER_S
         self.unanswered = 0
         self.unanswered_since = 0.0
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -34,6 +34,7 @@
 MAX_REDIRECTS = 3
 TENTATIVE_S = 0.25
 SILENT_PACKETS = 3
+MAX_PLACINGS = 3
 REFRESHES_PER_IDLE_TIMEOUT = 3
 COPIED_IDLE_FACTOR = 1 + 1 / REFRESHES_PER_IDLE_TIMEOUT
 
@@ -179,6 +180,7 @@
         if self._unconfirmed(flow, now):
             order = ring.order(flow.bucket) + node.members.leaving(now)
             path = tuple(n for n in order if n != node.name)[:LOOKUP_HOPS]
+        self._note_placing(flow, holders)
         self._mark_placed(flow, holders, data, now)
         if not path:
             return [self._send(node.usable(flow.record, view), data)]
@@ -207,6 +209,7 @@
         if relay.copies > 0 or own is not None:
             flow = self._hold(best, now)
             self._mark_placed(flow, flow.holders, relay.data, now)
+            flow.proven = not relay.path
         found = best is not carried and not best.tentative
         if found or not relay.path:
             target = node.usable(best, view)
@@ -239,6 +242,8 @@
             flow.last_seen = now
             flow.unanswered = 0
             flow.answered = True
+            flow.proven = True
+            flow.placings = 0
             self._answered[flow.record.target] = now
             if data[9] == PROTOCOL_TCP and tcp_flags(data) & (TCP_FIN | TCP_RST):
                 flow.closing = True
@@ -268,6 +273,8 @@
         refresh_s = view.profile.idle_timeout_s / REFRESHES_PER_IDLE_TIMEOUT
         if flow.holders != holders or now - flow.placed_at > refresh_s:
             return None
+        if not flow.proven:
+            return None
         if flow.last_seen < self._node.resumed_at:
             return None
         if flow.record.tentative:
@@ -292,6 +299,18 @@
         doubtful = flow.last_seen < self._node.resumed_at
         return flow.record.tentative or doubtful
 
+    def _note_placing(self, flow, holders):
+        """Doubt that a record has arrived until an answer proves it.
+
+        A packet that carries the record may be lost on its way, and only the
+        last holder sends it to the target. Flows without answers stop to doubt
+        after a few packets.
+        """
+        if flow.holders != holders:
+            flow.placings = 0
+        flow.placings += 1
+        flow.proven = flow.placings >= MAX_PLACINGS
+
     def _mark_placed(self, flow, holders, data, now):
         flow.holders = holders
         flow.placed_at = STALE_S if flow.record.tentative else now
