--- a/kumquatshift/cli/changes.py
+++ b/kumquatshift/cli/changes.py
@@ -35,13 +35,16 @@
 class Change:
     """One object to write, or to delete if ``after`` is None.
 
-    ``before`` is what was read; None if nothing stood.
+    ``before`` is what was read; None if nothing stood. An order that seems to
+    stand already is written again if ``confirm`` is set: the read may have been
+    stale, and only a conditional write shows that it was not.
     """
 
     kind: Kind
     name: str
     before: Versioned | None
     after: Body | None
+    confirm: bool = False
 
     @property
     def subject(self) -> str:
@@ -60,7 +63,9 @@
             return "remove"
         if self.before is None:
             return "create"
-        return "keep" if self.before.body == self.after else "change"
+        if self.before.body != self.after:
+            return "change"
+        return "confirm" if self.confirm else "keep"
 
     @property
     def differences(self) -> tuple[Difference, ...]:
@@ -106,7 +111,7 @@
 ) -> Result[tuple[Change, ...], Failure]:
     """Return the change of one object's state."""
     return find(standing, kind, name).map(
-        lambda obj: (Change(kind, name, obj, replace(obj.body, state=state)),)
+        lambda obj: (Change(kind, name, obj, replace(obj.body, state=state), True),)
     )
 
 
--- a/kumquatshift/cli/execution.py
+++ b/kumquatshift/cli/execution.py
@@ -35,7 +35,13 @@
 from .waiting import WaitReport, Wish, wait_in_force, wishes
 from .writer import Writer, new_operation
 
-PAST = {"create": "created", "change": "changed", "remove": "removed", "keep": "kept"}
+PAST = {
+    "create": "created",
+    "change": "changed",
+    "confirm": "confirmed",
+    "remove": "removed",
+    "keep": "kept",
+}
 NOT_TRIED = "not written"
 
 
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -167,6 +167,26 @@
       | {"lose_requests": 1, "stale_versions": 1} | target retire t1 | SUCCESS | an answer was lost   |
       | {"lose_answers": 1, "stale_versions": 2} | target retire t1 | SUCCESS | an answer was lost    |
 
+  Scenario Outline: A stale read ends in a conflict, never in an overwrite or a false success
+    Given a site with the demo's objects
+    When bert runs "<bert>"
+    And the platform's reads are 1 version stale
+    And kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with CONFLICT and the error says "<told>"
+
+    Examples:
+      | bert               | line                | told                       |
+      | domain out north-b | domain in north-b   | state: in -> out           |
+      | target retire t1   | target admit t1     | state: admitted -> retired |
+      | target retire t1   | target remove t1    | state: admitted -> retired |
+      | target remove t1   | target retire t1    | it was removed by another  |
+
+  Scenario: An order that stands already is confirmed by a write
+    Given a site with the demo's objects
+    When kumquat-ctl runs "domain in north-b"
+    Then kumquat-ctl ends with SUCCESS and one write took effect
+    And the output says "confirmed domain/north-b"
+
   Scenario Outline: Another's change right after a lost answer is told apart: <effect>
     Given a site with the demo's objects
     When anna's write of t1 loses its answer <effect> taking effect and bert retires t1
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -112,6 +112,16 @@
     context.ran = run_ctl(in_site, line, path)
 
 
+@when('bert runs "{line}"')
+def step_bert(context, line):
+    assert run_ctl(context.site, line).status == ExitStatus.SUCCESS
+
+
+@when("the platform's reads are 1 version stale")
+def step_stale(context):
+    context.site.faults(stale_versions=1)
+
+
 @given("a file with a good new profile and then {text}")
 def step_file(context, text):
     if text == 'a target of service "till"':
