--- a/kumquatshift/adapters/http.py
+++ b/kumquatshift/adapters/http.py
@@ -1,22 +1,9 @@
 """What the HTTP clients of the system share."""
 
-from treq.client import HTTPClient
 from twisted.internet import defer
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
-
-
-def new_client(reactor, connect_timeout_s: float, policy=None) -> HTTPClient:
-    """Return a client that sends each request once, on a connection of its own.
-
-    On kept connections Twisted sends a request again by itself if the first
-    connection turns out to be closed, even a write.
-    """
-    pool = HTTPConnectionPool(reactor, persistent=False)
-    options = {} if policy is None else {"contextFactory": policy}
-    agent = Agent(reactor, connectTimeout=connect_timeout_s, pool=pool, **options)
-    return HTTPClient(agent)
+from twisted.web.client import ResponseFailed
 
 
 def limit(fut: Deferred, seconds: float, reactor) -> Deferred:
@@ -40,5 +27,5 @@
     if reason.check(defer.CancelledError):
         return "given up"
     if isinstance(exc, ResponseFailed) and exc.reasons:
-        exc = exc.reasons[-1].value
+        exc = exc.reasons[0].value
     return str(exc).rstrip(".") or type(exc).__name__
--- a/kumquatshift/adapters/platform.py
+++ b/kumquatshift/adapters/platform.py
@@ -3,31 +3,31 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from urllib.parse import quote
 
-from loguru import logger
 from returns import result
 from returns.pipeline import is_successful
-from twisted.internet import defer, ssl
+from treq.client import HTTPClient
+from twisted.internet import defer
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineOnlyReceiver
-from twisted.web.client import BrowserLikePolicyForHTTPS
 
 from ..codec import body_to_json, kind_of, object_from_json
 from ..engine.objects import Body, Kind
 from ..errors import ErrorKind, Failure
+from ..logs import Part, logger_for
 from ..platform_port import Conflict, Expired, Listing, Progress, Vm, VmState
-from .http import limit, new_client, told
+from ..settings.common import PlatformSection
+from ..tls import platform_agent
+from .http import limit, told
 
-CONNECT_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 5.0
 MAX_LINE_BYTES = 2 * 1024 * 1024
 DEFAULT_URL = "http://127.0.0.10:8400"
 
-log = logger.bind(part="platform")
+log = logger_for(Part.PLATFORM)
 
 
 @dataclass(frozen=True)
@@ -47,6 +47,11 @@
             timeout_s=float(cfg.get("timeout_s", CALL_TIMEOUT_S)),
         )
 
+    @classmethod
+    def from_section(cls, section: PlatformSection) -> "PlatformConfig":
+        """Read the section ``[platform]`` of a program's settings."""
+        return cls(section.url, section.ca)
+
 
 @dataclass(frozen=True)
 class Reply:
@@ -66,7 +71,9 @@
     def __init__(self, cfg: PlatformConfig, reactor):
         self._cfg = cfg
         self._reactor = reactor
-        self._http = new_client(reactor, CONNECT_TIMEOUT_S, _policy(cfg))
+        # This agent keeps no connections. On kept ones Twisted sends a request
+        # again by itself, even a write, if the first turns out to be closed.
+        self._http = HTTPClient(platform_agent(reactor, cfg.ca))
 
     @classmethod
     def from_config(cls, cfg: Mapping[str, str], reactor) -> "PlatformClient":
@@ -213,13 +220,6 @@
         self.transport.loseConnection()
 
 
-def _policy(cfg):
-    if not cfg.ca:
-        return None
-    root = ssl.Certificate.loadPEM(Path(cfg.ca).read_bytes())
-    return BrowserLikePolicyForHTTPS(ssl.trustRootFromCertificates([root]))
-
-
 def _read(fut, read, failed, *args):
     """Turn an answer or its absence into a result; never fails otherwise."""
     fut.addCallbacks(read, failed, args)
@@ -227,7 +227,7 @@
 
 
 def _garbled(reason):
-    log.warning("could not read an answer of the platform: {!r}", reason.value)
+    log.warning("An answer cannot be read: {!r}.", reason.value)
     text = f"the platform's answer cannot be read: {reason.value!r}"
     return result.Failure(Failure(ErrorKind.UNAVAILABLE, text, "try again later"))
 
@@ -273,7 +273,7 @@
     obj = object_from_json(value)
     if is_successful(obj):
         return obj.unwrap()
-    log.warning("skipped an object of the platform: {}", obj.failure().message)
+    log.warning("An object is skipped: {}.", obj.failure().message)
     return None
 
 
@@ -343,5 +343,5 @@
         state = VmState(item["state"])
         return Vm(item["name"], item["domain"], item["role"], item["address"], state)
     except (KeyError, TypeError, ValueError) as exc:
-        log.warning("skipped a VM of the platform's list: {!r}", exc)
+        log.warning("A VM of the list is skipped: {!r}.", exc)
         return None
--- a/kumquatshift/adapters/watcher.py
+++ b/kumquatshift/adapters/watcher.py
@@ -3,13 +3,13 @@
 import random
 from collections.abc import Callable, Iterable
 
-from loguru import logger
 from returns.pipeline import is_successful
 from twisted.internet.defer import CancelledError
 from twisted.internet.task import LoopingCall
 
 from ..engine.objects import Versioned
 from ..errors import ErrorKind, Failure
+from ..logs import Part, logger_for
 from ..platform_port import Expired, Listing, Platform, Progress, Vm
 
 WATCH_SILENCE_S = 10.0
@@ -17,7 +17,7 @@
 BACKOFF_MAX_S = 2.0
 VM_POLL_S = 5.0
 
-log = logger.bind(part="platform")
+log = logger_for(Part.PLATFORM)
 
 
 class Backoff:
@@ -143,7 +143,7 @@
         self._expect_event()
         self._backoff.reset()
         if self._failing:
-            log.info("the watch works again")
+            log.info("The watch works again.")
         self._failing = False
         self._since = max(self._since, event.version)
         if not isinstance(event, Progress):
@@ -159,7 +159,9 @@
 
     def _retry(self, failure):
         if not self._failing:
-            log.warning("{}; trying again until it works", failure.message)
+            log.warning(
+                "No watch: {}; it is tried again until it works.", failure.message
+            )
         self._failing = True
         self._set_timer(self._backoff.next_s(), self._open)
 
@@ -223,4 +225,4 @@
                 self._on_vms(answer.unwrap())
         elif not self._failing:
             self._failing = True
-            log.warning("{}; the last list of VMs stays", answer.failure().message)
+            log.warning("{}; the last list of VMs stays.", answer.failure().message)
--- a/kumquatshift/cli/definition.py
+++ b/kumquatshift/cli/definition.py
@@ -11,6 +11,7 @@
 from .requests import (
     ApplyRequest,
     ChangeOptions,
+    CheckRequest,
     DiffRequest,
     DumpRequest,
     ListRequest,
@@ -194,6 +195,14 @@
         """
         return DumpRequest(read_word("--entry", entry))
 
+    def check(self, settings):
+        """Check a settings file of kumquat-ctl and tell every mistake.
+
+        Args:
+            settings: the INI file
+        """
+        return CheckRequest(read_word("--settings", settings))
+
     def wait(self, seconds, *, json="False"):
         """Wait until what stands now is in force at every entry in reach.
 
--- a/kumquatshift/cli/entries.py
+++ b/kumquatshift/cli/entries.py
@@ -5,12 +5,17 @@
 
 from returns import result
 from returns.result import Success
+from treq.client import HTTPClient
 from twisted.internet.defer import Deferred, gatherResults
 
-from ..adapters.http import limit, new_client, told
+from ..adapters.http import limit, told
 from ..errors import ErrorKind, Failure
+from ..settings.common import TlsSection
+from ..tls import entry_agent
 from .constants import ADMIN_PORT, CALL_TIMEOUT_S
 
+CLEAR = TlsSection("", "", "")
+
 
 @dataclass(frozen=True)
 class Entry:
@@ -25,10 +30,11 @@
 class EntryClient:
     """Fetches JSON from entries; every answer arrives within two seconds."""
 
-    def __init__(self, reactor, port: int = ADMIN_PORT):
+    def __init__(self, reactor, port: int = ADMIN_PORT, tls: TlsSection = CLEAR):
         self._reactor = reactor
         self._port = port
-        self._http = new_client(reactor, CALL_TIMEOUT_S)
+        self._scheme = "https" if tls.enabled else "http"
+        self._http = HTTPClient(entry_agent(reactor, tls))
 
     def versions(self, entry: Entry) -> Deferred:
         """Give ``Result[Mapping[str, int], Failure]``, versions in force."""
@@ -39,7 +45,7 @@
         return self._get(entry, "/dump")
 
     def _get(self, entry, path):
-        url = f"http://{entry.address}:{self._port}{path}"
+        url = f"{self._scheme}://{entry.address}:{self._port}{path}"
         fut = self._http.get(url, reactor=self._reactor)
         fut.addCallback(_read)
         limit(fut, CALL_TIMEOUT_S, self._reactor)
--- a/kumquatshift/cli/execution.py
+++ b/kumquatshift/cli/execution.py
@@ -74,7 +74,7 @@
         entry_client: EntryClient,
         clock,
         env: Environment,
-        fallback_entries: Sequence[str] = (),
+        fallback_entries: Sequence[Entry] = (),
     ):
         self._platform = platform
         self._entry_client = entry_client
@@ -278,7 +278,7 @@
         """Return the platform's entries, or those of the settings."""
         vms = await self._platform.list_vms()
         if _failed(vms) and self._fallback:
-            return result.Success(tuple(Entry(one, "?", one) for one in self._fallback))
+            return result.Success(tuple(self._fallback))
         return vms.map(
             lambda found: tuple(
                 Entry(vm.name, vm.domain, vm.address, vm.state.value)
--- a/kumquatshift/cli/requests.py
+++ b/kumquatshift/cli/requests.py
@@ -81,6 +81,13 @@
     entry: str
 
 
+@dataclass(frozen=True)
+class CheckRequest:
+    """Whether a settings file of the command line is good."""
+
+    path: str
+
+
 @dataclass(frozen=True)
 class WaitRequest:
     """Wait until the configuration that stands now is in force everywhere."""
@@ -98,5 +105,6 @@
     | DiffRequest
     | StatusRequest
     | DumpRequest
+    | CheckRequest
     | WaitRequest
 )
--- a/kumquatshift/programs/ctl.py
+++ b/kumquatshift/programs/ctl.py
@@ -3,17 +3,20 @@
 import sys
 from collections.abc import Sequence
 
-from loguru import logger
 from returns.pipeline import is_successful
 from twisted.internet.defer import Deferred, maybeDeferred
 
-from .. import core
-from ..adapters.platform import PlatformClient
+from .. import core, logs
+from ..adapters.platform import PlatformClient, PlatformConfig
 from ..cli.constants import PROGRAM
-from ..cli.entries import EntryClient
+from ..cli.entries import Entry, EntryClient
 from ..cli.execution import Executor, tell
 from ..cli.parsing import load_settings, parse
+from ..cli.requests import CheckRequest
 from ..context import Environment
+from ..settings.check import check
+from ..settings.common import LogFormat, LogLevel
+from ..settings.ctl import CtlSettings
 from ..status import ExitStatus
 
 
@@ -26,8 +29,7 @@
     """Run one command in a reactor of its own, and return its exit status."""
     from twisted.internet import reactor  # noqa: PLC0415 (importing installs it)
 
-    logger.remove()
-    logger.add(env.stderr, level="WARNING", format=PROGRAM + ": {message}")
+    logs.setup(LogLevel.WARNING, LogFormat.HUMAN, env.stderr)
     prepared = prepare(args, env, reactor)
     if isinstance(prepared, ExitStatus):
         return prepared
@@ -51,14 +53,16 @@
         return ExitStatus.SUCCESS
     if not is_successful(request):
         return tell(request.failure(), env)
+    if isinstance(request.unwrap(), CheckRequest):
+        return check(CtlSettings, request.unwrap().path, env)
     settings = load_settings(args, env)
     if not is_successful(settings):
         return tell(settings.failure(), env)
     cfg = settings.unwrap()
-    platform = PlatformClient(cfg.platform, reactor)
-    entry_client = EntryClient(reactor, cfg.admin_port)
-    executor = Executor(platform, entry_client, reactor, env, cfg.entries)
-    return executor, request.unwrap()
+    platform = PlatformClient(PlatformConfig.from_section(cfg.platform), reactor)
+    entry_client = EntryClient(reactor, cfg.ctl.admin_port, cfg.tls)
+    peers = [Entry(one.name, one.domain, one.address) for one in cfg.peers.members]
+    return Executor(platform, entry_client, reactor, env, peers), request.unwrap()
 
 
 def _run_reactor(reactor, executor, request, env):
--- a/kumquatshift/standins/platform.py
+++ b/kumquatshift/standins/platform.py
@@ -13,12 +13,12 @@
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass, field, fields, replace
 
-from loguru import logger
 from twisted.internet import ssl
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
 from ..fields import NAME_PATTERN, Invalid, Number, Whole, shown
+from ..logs import Part, logger_for
 
 BEAT_S = 5.0
 MAX_BODY_BYTES = 1024 * 1024
@@ -26,7 +26,7 @@
 MAX_DELAY_S = 3600.0
 NO_OBJECT = {"error": "no such object"}
 
-log = logger.bind(part="platform")
+log = logger_for(Part.STANDIN)
 
 
 @dataclass(frozen=True)
@@ -361,7 +361,7 @@
 
     def _change_faults(self, request):
         self.faults = self.faults.changed(_parse(request))
-        log.info("faults are now {}", self.faults)
+        log.info("The faults are now {}.", self.faults)
         if self.faults.outage:
             for watch in list(self.watches):
                 watch.cut()
@@ -463,7 +463,7 @@
         )
     else:
         port = reactor.listenTCP(settings.port, site, interface=settings.address)
-    log.info("listening on {} port {}", settings.address, settings.port)
+    log.info("The platform listens on {} port {}.", settings.address, settings.port)
     return PlatformServer(api, port)
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -71,6 +71,18 @@
     When the client tries to write profile "a"
     Then the client is told "unavailable", and the platform stands at version 0
 
+  Scenario Outline: Over TLS only the platform that the settings trust is believed: <shown>
+    Given a platform over TLS that shows <shown>
+    When the client that trusts the site's authority tries to write profile "a"
+    Then the client is told "<kind>", and the platform stands at version <version>
+
+    Examples:
+      | shown                           | kind            | version |
+      | a good certificate              | success         | 1       |
+      | an expired certificate          | outcome-unknown | 0       |
+      | a certificate of a stranger     | outcome-unknown | 0       |
+      | a certificate of another address | outcome-unknown | 0      |
+
   Scenario: Calls are counted by kind, and a waiting watch as one
     Given a platform with profile "a" at version 1 and profile "b" removed as version 3
     When the client watches since version 0 until version 3
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,5 +1,6 @@
 import json
 import random
+import tempfile
 
 import treq
 from behave import given, then, when
@@ -14,8 +15,9 @@
 from kumquatshift.errors import ErrorKind, Failure
 from kumquatshift.platform_port import Expired, Listing, Progress
 from kumquatshift.standins.platform import Api, PlatformSettings, VmRow
+from tests.support.authority import DAY, make_authority, make_leaf, write_files
 from tests.support.fake_platform import FakePlatform
-from tests.support.loopback import LoopbackSite, in_reactor
+from tests.support.loopback import PLATFORM_ADDRESS, LoopbackSite, in_reactor
 
 ENDED = Failure(ErrorKind.UNAVAILABLE, "the watch ended")
 EXPIRED = Expired(ErrorKind.NOT_FOUND, "too old")
@@ -55,6 +57,30 @@
     in_reactor(context.site.server.port.stopListening)
 
 
+@given("a platform over TLS that shows {shown}")
+def step_tls(context, shown):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    site, stranger = make_authority("site"), make_authority("stranger")
+    leaves = {
+        "a good certificate": lambda: make_leaf(site, PLATFORM_ADDRESS),
+        "an expired certificate": lambda: make_leaf(site, PLATFORM_ADDRESS, -DAY),
+        "a certificate of a stranger": lambda: make_leaf(stranger, PLATFORM_ADDRESS),
+        "a certificate of another address": lambda: make_leaf(site, "127.11.0.2"),
+    }
+    files = write_files(folder.name, site, leaves[shown]())
+    start_site(context, certificate=files.certificate, key=files.key)
+    context.url = context.site.url.replace("http:", "https:")
+    context.ca = files.ca
+
+
+@when('the client that trusts the site\'s authority tries to write profile "a"')
+def step_tls_write(context):
+    cfg = {"platform": context.url, "ca": context.ca}
+    client = PlatformClient.from_config(cfg, reactor)
+    context.answer = in_reactor(client.write_object, Profile("a"), 0, "anna-1")
+
+
 @given("the platform has the fault {fault}")
 def step_fault(context, fault):
     context.site.faults(**json.loads(fault))
