--- /dev/null
+++ b/kumquatshift/cli/outcomes.py
@@ -0,0 +1,106 @@
+"""What became of changes, one by one and as a whole."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..errors import ErrorKind, Failure
+from .changes import Change
+from .writer import Written
+
+
+class Fate(StrEnum):
+    """What became of one change, in the word that the operator reads."""
+
+    CREATED = "created"
+    CHANGED = "changed"
+    CONFIRMED = "confirmed"
+    REMOVED = "removed"
+    KEPT = "kept"
+    PERHAPS_WRITTEN = "perhaps written"
+    NOT_WRITTEN = "not written"
+
+
+DONE = {
+    "create": Fate.CREATED,
+    "change": Fate.CHANGED,
+    "confirm": Fate.CONFIRMED,
+    "remove": Fate.REMOVED,
+    "keep": Fate.KEPT,
+}
+WRITTEN = (Fate.CREATED, Fate.CHANGED, Fate.CONFIRMED, Fate.REMOVED)
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What became of one change; ``version`` is what stands if it is known.
+
+    ``planned`` tells of a change that was not to be made yet.
+    """
+
+    subject: str
+    fate: Fate
+    version: int | None = None
+    operation: str = ""
+    differences: tuple[str, ...] = ()
+    answer_lost: bool = False
+    planned: bool = False
+
+    def __str__(self):
+        would_be = "would be " if self.planned else ""
+        version = f" version {self.version}" if self.version else ""
+        lines = [f"{would_be}{self.fate} {self.subject}{version}"]
+        lines += [f"    {line}" for line in self.differences]
+        if self.answer_lost:
+            lines.append("    (an answer was lost; reading back showed this)")
+        return "\n".join(lines)
+
+
+def planned(change: Change) -> Outcome:
+    """Return what a change would do."""
+    fields = _fields(change)
+    return Outcome(change.subject, DONE[change.action], None, "", fields, planned=True)
+
+
+def written(change: Change, done: Written) -> Outcome:
+    """Return the outcome of a write that took effect."""
+    fate, fields = DONE[change.action], _fields(change)
+    return Outcome(
+        change.subject, fate, done.version, done.operation, fields, done.answer_lost
+    )
+
+
+def kept(change: Change) -> Outcome:
+    """Return the outcome of a change that needed no write."""
+    return Outcome(change.subject, Fate.KEPT, change.version)
+
+
+def not_written(change: Change, failure: Failure | None = None) -> Outcome:
+    """Return the outcome of a write that failed, or was not tried."""
+    unknown = failure is not None and failure.kind is ErrorKind.OUTCOME_UNKNOWN
+    fate = Fate.PERHAPS_WRITTEN if unknown else Fate.NOT_WRITTEN
+    return Outcome(change.subject, fate, differences=_fields(change))
+
+
+def partial(failure: Failure, outcomes: Sequence[Outcome]) -> Failure:
+    """Add to a failure midway which changes were written and which were not."""
+    told = [f"written: {_names(outcomes, WRITTEN)}"]
+    if any(outcome.fate is Fate.PERHAPS_WRITTEN for outcome in outcomes):
+        told.append(f"perhaps written: {_names(outcomes, (Fate.PERHAPS_WRITTEN,))}")
+    told.append(f"not written: {_names(outcomes, (Fate.NOT_WRITTEN,))}")
+    text = f"{failure.message}\n" + "; ".join(told)
+    remedy = "run it again once mended: what stands already is kept"
+    if failure.remedy:
+        remedy = f"{failure.remedy}; {remedy}"
+    return Failure(failure.kind, text, remedy)
+
+
+def _names(outcomes, fates):
+    found = [outcome.subject for outcome in outcomes if outcome.fate in fates]
+    return ", ".join(found) or "none"
+
+
+def _fields(change):
+    if change.after is None:
+        return ()
+    return tuple(str(difference) for difference in change.differences)
--- a/kumquatshift/cli/report.py
+++ b/kumquatshift/cli/report.py
@@ -4,10 +4,14 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from returns.pipeline import is_successful
+from returns.result import Result
 from tabulate import tabulate
 
 from ..codec import subject
 from ..engine.objects import Kind, Versioned
+from ..errors import Failure
+from ..platform_port import Listing
 from .entries import Entry
 from .waiting import judge, wishes
 
@@ -66,13 +70,14 @@
 
 
 def build(
-    version: int | None,
-    objects: Sequence[Versioned],
+    listing: Result[Listing, Failure],
     entries: Sequence[Entry],
-    dumps: Mapping[str, Mapping | None],
-    missing: Sequence[str] = (),
+    answers: Mapping[str, Result[Mapping, Failure]],
 ) -> SiteReport:
-    """Return the report; ``dumps`` has None for an entry without an answer."""
+    """Return the report on what the platform holds and what entries dumped."""
+    version, objects, missing = _standing(listing)
+    failures = [one.failure() for one in answers.values() if not is_successful(one)]
+    dumps = {name: answer.value_or(None) for name, answer in answers.items()}
     versions = {
         name: None if dump is None else dump.get("versions", {})
         for name, dump in dumps.items()
@@ -88,7 +93,7 @@
         entries=tuple(rows),
         targets=targets,
         late=tuple(str(late) for late in waiting.behind),
-        missing=tuple(missing),
+        missing=tuple(missing + [str(failure) for failure in failures]),
     )
 
 
@@ -185,6 +190,13 @@
     )
 
 
-def missing_of(kind: Kind, name: str) -> str:
-    """Say that an object could not be read."""
-    return f"{subject(kind, name)} cannot be read; kumquat-ctl is too old for it"
+def _standing(listing):
+    """Return version, objects, and what could not be read."""
+    if not is_successful(listing):
+        return None, (), [str(listing.failure())]
+    found = listing.unwrap()
+    missing = [
+        f"{subject(*key)} cannot be read; is kumquat-ctl too old for it?"
+        for key in found.skipped
+    ]
+    return found.version, found.items, missing
--- a/kumquatshift/programs/ctl.py
+++ b/kumquatshift/programs/ctl.py
@@ -10,8 +10,9 @@
 from ..adapters.platform import PlatformClient, PlatformConfig
 from ..cli.constants import PROGRAM
 from ..cli.entries import Entry, EntryClient
-from ..cli.execution import Executor, tell
+from ..cli.execution import Executor
 from ..cli.parsing import load_settings, parse
+from ..cli.printing import Printer
 from ..cli.requests import CheckRequest
 from ..context import Environment
 from ..settings.check import check
@@ -52,12 +53,12 @@
     if request is None:
         return ExitStatus.SUCCESS
     if not is_successful(request):
-        return tell(request.failure(), env)
+        return Printer(env).failure(request.failure())
     if isinstance(request.unwrap(), CheckRequest):
         return check(CtlSettings, request.unwrap().path, env)
     settings = load_settings(args, env)
     if not is_successful(settings):
-        return tell(settings.failure(), env)
+        return Printer(env).failure(settings.failure())
     cfg = settings.unwrap()
     platform = PlatformClient(PlatformConfig.from_section(cfg.platform), reactor)
     entry_client = EntryClient(reactor, cfg.ctl.admin_port, cfg.tls)
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -408,6 +408,17 @@
     context.ran = Ran(run.returncode, out, err)
 
 
+@when("the program is interrupted while it waits for 60 s")
+def step_interrupt_wait(context):
+    line = f"--settings {context.settings} target retire t1 --wait 60"
+    run = program(context, line)
+    await_that(lambda: context.site.store.version > context.version)
+    time.sleep(0.3)
+    os.kill(run.pid, signal.SIGINT)
+    out, err = run.communicate(timeout=PATIENCE_S)
+    context.ran = Ran(run.returncode, out, err)
+
+
 @then("it ends with {status:d} and names as written just what the platform holds")
 def step_interrupted(context, status):
     step_program_ends(context, status)
