--- a/kumquatshift/cli/report.py
+++ b/kumquatshift/cli/report.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class DomainRow:
-    """One failure domain."""
+    """One failure domain; ``flows`` are those that its entries decide for."""
 
     domain: str
     state: str
@@ -45,13 +45,17 @@
 
 @dataclass(frozen=True)
 class TargetRow:
-    """One target; ``share`` is its part of the work of its service."""
+    """One target; ``share`` is its part of the work of its service.
+
+    ``held`` counts the records of its flows at all entries, so a flow counts once
+    for each entry that holds a copy.
+    """
 
     target: str
     service: str
     domain: str
     state: str
-    flows: int
+    held: int
     sent: int
     share: float
 
@@ -150,10 +154,10 @@
 
 
 def _target_rows(objects, dumps):
-    flows, sent = Counter(), Counter()
+    held, sent = Counter(), Counter()
     for dump in dumps:
         for name, figures in (dump or {}).get("targets", {}).items():
-            flows[name] += figures.get("flows", 0)
+            held[name] += figures.get("flows", 0)
             sent[name] += figures.get("sent", 0)
     bodies = [obj.body for obj in objects if obj.kind is Kind.TARGET]
     totals = Counter()
@@ -165,7 +169,7 @@
             service=body.service,
             domain=body.domain,
             state=body.state.value,
-            flows=flows[body.name],
+            held=held[body.name],
             sent=sent[body.name],
             share=sent[body.name] / (totals[body.service] or 1),
         )
@@ -184,7 +188,7 @@
                 row.domain == body.name and row.state != NO_ANSWER for row in entries
             ),
             targets=sum(row.domain == body.name for row in targets),
-            flows=sum(row.flows for row in targets if row.domain == body.name),
+            flows=sum(row.primary or 0 for row in entries if row.domain == body.name),
         )
         for body in sorted(bodies, key=lambda body: body.name)
     )
