--- a/kumquatshift/cli/parsing.py
+++ b/kumquatshift/cli/parsing.py
@@ -10,6 +10,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result, Success
 
+from ..adapters.platform import DEFAULT_URL
 from ..context import Environment
 from ..errors import ErrorKind, Failure
 from ..settings.ctl import CtlSettings
@@ -18,6 +19,7 @@
 from .definition import Commands, UsageError
 from .requests import Request
 
+LOCAL = f"[platform]\nurl = {DEFAULT_URL}\n"
 WORDS = {
     *("profile", "service", "target", "domain"),
     *("list", "show", "apply", "remove", "admit", "retire", "out", "in", "into"),
@@ -77,12 +79,13 @@
 ) -> Result[CtlSettings, Failure]:
     """Return the settings that flags, environment and file give.
 
-    The file is that of ``--settings``, or else of the environment; without one
-    every key has its default. ``--platform`` goes before the file.
+    The file is that of ``--settings``, or else of the environment. Without one
+    the platform is that of a site on this machine, as `make site` starts it.
+    ``--platform`` goes before all.
     """
     flags = split(args).flags
     path = flags.get("--settings") or env.variables.get(SETTINGS_VARIABLE)
-    loaded = CtlSettings.load(path) if path else CtlSettings.from_text("")
+    loaded = CtlSettings.load(path) if path else CtlSettings.from_text(LOCAL)
     if not is_successful(loaded):
         lines = [f"{path}: {problem}" for problem in loaded.failure()]
         return result.Failure(_bad_settings("\n".join(lines), f"mend {path}"))
@@ -98,7 +101,7 @@
             return result.Failure(_bad_settings(told, "mend --platform"))
         cfg = replace(cfg, platform=section)
     if not cfg.platform.url:
-        remedy = f"give --platform URL, or name a settings file in {SETTINGS_VARIABLE}"
+        remedy = "give --platform URL, or set url in the section [platform]"
         return result.Failure(_bad_settings("no platform is known", remedy))
     return Success(cfg)
 
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from behave import given, then, when
+from returns.pipeline import is_successful
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
 
@@ -32,6 +33,7 @@
 DEMO = ROOT / "extras" / "demo" / "objects.ini"
 DOMAINS = ("north-a", "north-b", "north-c", "north-d")
 TARGET = "service = tills\ndomain = north-a\nhost = 127.0.2.{}\nport = 6080\nslots = {}"
+PAGE = ROOT / "docs" / "OPERATORS.md"
 PATIENCE_S = 10
 
 
@@ -425,3 +427,20 @@
     found = re.findall(r"^created (\S+)", context.ran.out, re.MULTILINE)
     held = [f"{kind}/{name}" for kind, name in context.site.store.objects]
     assert found == held and 3 <= len(held) < 23, (found, held)
+
+
+@then("each command of docs/OPERATORS.md is understood")
+def step_page_commands(context):
+    lines = PAGE.read_text().splitlines()
+    commands = [ln.strip() for ln in lines if ln.startswith("    kumquat-ctl ")]
+    assert len(commands) > 20, commands
+    for command in commands:
+        words = command.partition(" > ")[0].split()[1:]
+        request = parse(words, environment("anna"))
+        assert is_successful(request), (command, request)
+
+
+@then("docs/OPERATORS.md lists each exit status with its number")
+def step_page_statuses(context):
+    found = re.findall(r"^\| (\d+) \| (\w+) \|", PAGE.read_text(), re.MULTILINE)
+    assert found == [(str(int(one)), one.name) for one in ExitStatus], found
