--- a/kumquatshift/adapters/watcher.py
+++ b/kumquatshift/adapters/watcher.py
@@ -42,7 +42,8 @@
     """Tells every change of the platform's objects for as long as it is held.
 
     It lists, then watches from the list's version. A watch on which nothing
-    came for 10 s is dropped and opened again; after `Expired` it lists anew.
+    came for 10 s is dropped; then, as after `Expired`, it lists anew, so that
+    changes arrive even while every watch hangs.
     An object that stands in ``known`` but not in a list is told as deleted only
     if the list is newer: a stale list takes nothing away. Changes may be told
     twice and out of order; the receiver keeps the highest version of each.
@@ -170,6 +171,7 @@
 
     def _on_silence(self):
         self._stop_watch()
+        self._since = None
         text = f"nothing came on the watch for {WATCH_SILENCE_S:g} s"
         self._retry(Failure(ErrorKind.TIMEOUT, text))
 
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -250,6 +250,13 @@
     context.platform.watches[-1].on_end(EXPIRED)
 
 
+@when('profile "x" is written as version 12 and all watches hang for 15 s')
+def step_hang(context):
+    items = (Versioned(Kind.PROFILE, "x", 12, Profile("x")),)
+    context.platform.listing = Listing(12, items)
+    step_pass(context, 15)
+
+
 @when("{seconds:d} s pass on the watch's clock")
 def step_pass(context, seconds):
     for second in range(seconds * 10):
