--- /dev/null
+++ b/kumquatshift/standins/platform_settings.py
@@ -0,0 +1,71 @@
+"""Settings of the platform stand-in, and the VMs that it lists."""
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+
+from ..fields import shown
+
+VM_STATES = ("live", "leaving")
+
+
+@dataclass(frozen=True)
+class VmRow:
+    """One VM as the platform lists it."""
+
+    name: str
+    domain: str
+    role: str
+    address: str
+    state: str = "live"
+
+    @classmethod
+    def from_text(cls, text: str) -> "VmRow":
+        """Read ``NAME DOMAIN ROLE ADDRESS [live|leaving]``."""
+        words = text.split()
+        if len(words) not in (4, 5):
+            raise ValueError(f"{text!r}; allowed: NAME DOMAIN ROLE ADDRESS [STATE]")
+        return cls.checked(cls(*words))
+
+    @classmethod
+    def from_json(cls, value: Mapping) -> "VmRow":
+        """Read one item of the list."""
+        try:
+            return cls.checked(cls(**value))
+        except TypeError as exc:
+            raise ValueError(f"{shown(value)}; {exc}") from exc
+
+    @staticmethod
+    def checked(row: "VmRow") -> "VmRow":
+        """Return the row if all its fields are text and its state is known."""
+        if not all(isinstance(text, str) for text in asdict(row).values()):
+            raise ValueError(f"{shown(asdict(row))}; allowed: text in every field")
+        if row.state not in VM_STATES:
+            raise ValueError(f"state {row.state!r}; allowed: {', '.join(VM_STATES)}")
+        return row
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """Where the stand-in listens and what it starts with; times in seconds."""
+
+    address: str = "127.0.0.10"
+    port: int = 8400
+    vms_lag_s: float = 2.0
+    history: int = 10_000
+    certificate: str = ""
+    key: str = ""
+    vms: tuple[VmRow, ...] = ()
+
+    @classmethod
+    def from_config(cls, cfg: Mapping[str, str]) -> "PlatformSettings":
+        """Read the ``[platform]`` section; ``vms`` holds one VM a line."""
+        rows = [line for line in cfg.get("vms", "").splitlines() if line.strip()]
+        return cls(
+            address=cfg.get("address", cls.address),
+            port=int(cfg.get("port", cls.port)),
+            vms_lag_s=float(cfg.get("vms_lag_s", cls.vms_lag_s)),
+            history=int(cfg.get("history", cls.history)),
+            certificate=cfg.get("certificate", ""),
+            key=cfg.get("key", ""),
+            vms=tuple(VmRow.from_text(row) for row in rows),
+        )
