--- /dev/null
+++ b/kumquatshift/adapters/platform_answers.py
@@ -0,0 +1,134 @@
+"""What the platform's answers mean."""
+
+import json
+from dataclasses import dataclass
+
+from returns import result
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from ..codec import object_from_json
+from ..engine.objects import Kind, Versioned
+from ..errors import ErrorKind, Failure
+from ..logs import Part, logger_for
+from ..platform_port import Conflict, Listing, Vm, VmState
+
+log = logger_for(Part.PLATFORM)
+
+
+@dataclass(frozen=True)
+class Reply:
+    """The code and the JSON value of one answer."""
+
+    code: int
+    value: object
+
+
+def parse(data: bytes) -> object:
+    """Return the JSON value of an answer, None if it is no JSON."""
+    try:
+        return json.loads(data)
+    except ValueError:
+        return None
+
+
+def _unexpected(reply):
+    why = reply.value.get("error", "") if isinstance(reply.value, dict) else ""
+    kind = ErrorKind.BAD_INPUT if reply.code == 400 else ErrorKind.UNAVAILABLE
+    return Failure(
+        kind, f"the platform answered {reply.code} {why}".strip(), "try again later"
+    )
+
+
+def decoded(value: object) -> Versioned | None:
+    """Return an object, None after a warning if it cannot be read."""
+    obj = object_from_json(value)
+    if is_successful(obj):
+        return obj.unwrap()
+    log.warning("An object is skipped: {}.", obj.failure().message)
+    return None
+
+
+def read_listing(reply: Reply) -> Result[Listing, Failure]:
+    """Return the objects that stand."""
+    value = reply.value
+    if reply.code != 200 or not isinstance(value, dict):
+        return result.Failure(_unexpected(reply))
+    items, skipped = [], []
+    for item in value.get("items", []):
+        obj = decoded(item)
+        if obj is None:
+            skipped.append((item.get("kind"), item.get("name")))
+        else:
+            items.append(obj)
+    return result.Success(Listing(value["version"], tuple(items), tuple(skipped)))
+
+
+def read_object(reply: Reply, kind: Kind, name: str) -> Result[Versioned, Failure]:
+    """Return one object or its tombstone."""
+    if reply.code == 200:
+        return object_from_json(reply.value).alt(_unreadable)
+    if reply.code == 404:
+        return _standing_after_404(reply, kind, name)
+    return result.Failure(_unexpected(reply))
+
+
+def _standing_after_404(reply, kind, name):
+    obj = object_from_json(reply.value)
+    if is_successful(obj):
+        return obj
+    text = f"{kind}/{name} does not exist"
+    return result.Failure(
+        Failure(ErrorKind.NOT_FOUND, text, f"see: kumquat-ctl {kind} list")
+    )
+
+
+def read_written(
+    reply: Reply, kind: Kind, name: str, version: int
+) -> Result[Versioned, Failure]:
+    """Return what a write left, a `Conflict`, or OUTCOME_UNKNOWN.
+
+    Only an answer from 400 to 499 says that nothing was written.
+    """
+    if reply.code in (404, 409):
+        return result.Failure(_conflict(reply, kind, name, version))
+    if 400 <= reply.code < 500:
+        return result.Failure(_unexpected(reply))
+    written = object_from_json(reply.value)
+    if reply.code == 200 and is_successful(written):
+        return written
+    text = f"the platform answered the write with {reply.code}, which tells nothing"
+    return result.Failure(Failure(ErrorKind.OUTCOME_UNKNOWN, text))
+
+
+def _conflict(reply, kind, name, version):
+    obj = object_from_json(reply.value)
+    standing = obj.unwrap() if is_successful(obj) else None
+    live = standing is not None and standing.body is not None
+    found = f"version {standing.version}" if live else "nothing"
+    text = f"{kind}/{name}: expected version {version}, but {found} stands"
+    remedy = f"look at it with: kumquat-ctl {kind} show {name}"
+    return Conflict(ErrorKind.CONFLICT, text, remedy, standing)
+
+
+def read_vms(reply: Reply) -> Result[tuple[Vm, ...], Failure]:
+    """Return the VMs that are listed; one that cannot be read is left out."""
+    value = reply.value
+    if reply.code != 200 or not isinstance(value, dict):
+        return result.Failure(_unexpected(reply))
+    vms = [_vm(item) for item in value.get("items", [])]
+    return result.Success(tuple(vm for vm in vms if vm is not None))
+
+
+def _vm(item):
+    try:
+        state = VmState(item["state"])
+        return Vm(item["name"], item["domain"], item["role"], item["address"], state)
+    except (KeyError, TypeError, ValueError) as exc:
+        log.warning("A VM of the list is skipped: {!r}.", exc)
+        return None
+
+
+def _unreadable(failure):
+    text = f"the platform's object cannot be read: {failure.message}"
+    return Failure(ErrorKind.UNAVAILABLE, text, "is kumquat-ctl too old for it?")
--- a/kumquatshift/standins/platform.py
+++ b/kumquatshift/standins/platform.py
@@ -138,6 +138,9 @@
             self._lose("lose_answers")
             cut(request)
             return NOT_DONE_YET
+        if self.faults.garble_answers:
+            self._lose("garble_answers")
+            return {"kind": key[0]}
         return obj
 
     def _lose(self, name):
--- a/kumquatshift/standins/platform_faults.py
+++ b/kumquatshift/standins/platform_faults.py
@@ -13,15 +13,17 @@
 
     ``outage`` answers every call with 503 and cuts the watches. ``latency_s``
     delays every answer. The next ``lose_answers`` writes take effect and their
-    connection is cut; the next ``lose_requests`` ones are cut without effect.
-    Reads are ``stale_versions`` behind. ``hang_watches`` keeps watches open
-    and says nothing on them.
+    connection is cut; the next ``lose_requests`` ones are cut without effect; the
+    answers of the next ``garble_answers`` ones lack most of the object. Reads are
+    ``stale_versions`` behind. ``hang_watches`` keeps watches open and says nothing
+    on them.
     """
 
     outage: bool = False
     latency_s: float = 0.0
     lose_answers: int = 0
     lose_requests: int = 0
+    garble_answers: int = 0
     stale_versions: int = 0
     hang_watches: bool = False
 
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -163,6 +163,8 @@
       | {"lose_requests": 1}                     | target retire t1 | SUCCESS | an answer was lost    |
       | {"lose_answers": 1}                      | target remove t1 | SUCCESS | an answer was lost    |
       | {"lose_requests": 1}                     | target remove t1 | SUCCESS | an answer was lost    |
+      | {"garble_answers": 1}                    | target retire t1 | SUCCESS | an answer was lost    |
+      | {"garble_answers": 1}                    | target remove t1 | SUCCESS | an answer was lost    |
       | {"lose_requests": 2, "lose_answers": 1}  | target retire t1 | SUCCESS | an answer was lost    |
       | {"lose_requests": 1, "stale_versions": 1} | target retire t1 | SUCCESS | an answer was lost   |
       | {"lose_answers": 1, "stale_versions": 2} | target retire t1 | SUCCESS | an answer was lost    |
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -60,6 +60,7 @@
       | {"outage": true}        | write profile "a" | outcome-unknown | 3       |
       | {"lose_answers": 1}     | write profile "a" | outcome-unknown | 4       |
       | {"lose_requests": 1}    | write profile "a" | outcome-unknown | 3       |
+      | {"garble_answers": 1}   | write profile "a" | outcome-unknown | 4       |
       | {"latency_s": 30}       | list all objects  | timeout         | 3       |
       | {"latency_s": 30}       | write profile "a" | outcome-unknown | 3       |
       | {"stale_versions": 3}   | read profile "a"  | not-found       | 3       |
