--- a/extras/demo/serve.py
+++ b/extras/demo/serve.py
@@ -4,6 +4,7 @@
 import sys
 import time
 
+import fire
 import prepare
 from run import BINARIES, DIRECTORY, Demo, interrupt
 from runner import Runner
@@ -11,10 +12,13 @@
 CHECK_PERIOD_S = 0.5
 
 
-def serve():
-    """Start the site, and end it when asked to; return the exit status."""
+def serve(block=prepare.BLOCK):
+    """Start the site, and end it when asked to; return the exit status.
+
+    All its addresses are loopback ones, whose second byte is BLOCK.
+    """
     signal.signal(signal.SIGTERM, interrupt)
-    preparation = prepare.Preparation(prepare.BLOCK, DIRECTORY)
+    preparation = prepare.Preparation(block, DIRECTORY)
     preparation.write_all()
     commands = [[str(BINARIES / name)] for name in ("kumquat-entry", "kumquat-ctl")]
     with open(DIRECTORY / "demo.log", "w", encoding="utf-8") as log:
@@ -45,4 +49,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(serve())
+    sys.exit(fire.Fire(serve, serialize=lambda _: None))
--- a/kumquatshift/logs.py
+++ b/kumquatshift/logs.py
@@ -197,18 +197,20 @@
 
 @dataclass
 class _Window:
-    """Lines of one key since the last that was written."""
+    """Lines of one key since the last that was written; ``last`` is not yet."""
 
     started_s: float
     suppressed: int = 0
+    last: str = ""
 
 
 class RateLimited:
     """Writes at most one line a key in ``every_s`` seconds, and counts the rest.
 
-    The first line of a key is written at once. What is suppressed after it is
-    told, with its count, when the time is over, on ``clock``. Keys name a kind
-    of line, never a caller: beyond `MAX_RATE_LIMIT_KEYS` they share one limit::
+    The first line of a key is written at once. When the time is over, on
+    ``clock``, the last of those that came after it is written, with the number
+    of the others. Keys name a kind of line, never a caller: beyond
+    `MAX_RATE_LIMIT_KEYS` they share one limit::
 
         limited = RateLimited(logger_for(Part.PACKETS), reactor)
         limited.warning(DropReason.MALFORMED, "A packet from {} is malformed.", host)
@@ -245,6 +247,7 @@
             self._log.log(level, message, *args)
             return
         window.suppressed += 1
+        window.last = message.format(*args)
         if window.suppressed == 1:
             left_s = window.started_s + self._every_s - now_s
             self._clock.callLater(left_s, self._tell, level, key)
@@ -258,7 +261,9 @@
             del self._windows[key]
 
     def _tell(self, level: str, key: Hashable) -> None:
-        count = self._windows[key].suppressed
+        window = self._windows[key]
         self._windows[key] = _Window(self._clock.seconds())
-        text = "{} more lines like it in {:g} s: {}."
-        self._log.log(level, text, count, self._every_s, key)
+        text = window.last
+        if window.suppressed > 1:
+            text += f" ({window.suppressed - 1} more like it in {self._every_s:g} s.)"
+        self._log.log(level, "{}", text)
