--- a/kumquatshift/certificates.py
+++ b/kumquatshift/certificates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import datetime
 from ipaddress import IPv4Address, ip_address
 from pathlib import Path
 
@@ -14,8 +14,6 @@
     load_pem_private_key,
 )
 
-RENEWAL_TIME = timedelta(days=7)
-
 
 @dataclass(frozen=True)
 class CertificateFault:
@@ -67,11 +65,6 @@
     return faults
 
 
-def expires_at(path: str) -> datetime:
-    """Return when the first certificate of a file ends; it must be readable."""
-    return _read_certificates(path)[0].not_valid_after_utc
-
-
 def _read(path: str) -> bytes:
     try:
         return Path(path).read_bytes()
