--- a/kumquatshift/logs.py
+++ b/kumquatshift/logs.py
@@ -201,7 +201,7 @@
 
     started_s: float
     suppressed: int = 0
-    last: str = ""
+    last: tuple[str, tuple] = ("", ())
 
 
 class RateLimited:
@@ -247,7 +247,7 @@
             self._log.log(level, message, *args)
             return
         window.suppressed += 1
-        window.last = message.format(*args)
+        window.last = (message, args)
         if window.suppressed == 1:
             left_s = window.started_s + self._every_s - now_s
             self._clock.callLater(left_s, self._tell, level, key)
@@ -263,7 +263,8 @@
     def _tell(self, level: str, key: Hashable) -> None:
         window = self._windows[key]
         self._windows[key] = _Window(self._clock.seconds())
-        text = window.last
+        message, args = window.last
+        text = message.format(*args)
         if window.suppressed > 1:
             text += f" ({window.suppressed - 1} more like it in {self._every_s:g} s.)"
         self._log.log(level, "{}", text)
