--- a/kumquatshift/standins/admin.py
+++ b/kumquatshift/standins/admin.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from twisted.internet import defer
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
@@ -65,6 +66,13 @@
         return b"{}"
 
 
+def stop_ports(ports) -> defer.Deferred:
+    """Close ports; the Deferred fires when all of them are closed."""
+    return defer.gatherResults(
+        [defer.maybeDeferred(port.stopListening) for port in ports]
+    )
+
+
 def admin_site(take_dump, pages: Mapping[bytes, Resource] | None = None) -> Site:
     """Return the HTTP site of a stand-in's admin port."""
     root = admin_root(StandinState(take_dump))
--- a/kumquatshift/standins/bridge.py
+++ b/kumquatshift/standins/bridge.py
@@ -57,6 +57,11 @@
         else:
             stream.receive(segment)
 
+    def abort_all(self):
+        """Reset every connection."""
+        for stream in list(self.streams.values()):
+            stream.abort()
+
     def _add(self, local, remote, owner):
         stream = Stream(local, remote, self.clock, self.send, owner, self._forget)
         self.streams[local, remote] = stream
--- a/kumquatshift/standins/load.py
+++ b/kumquatshift/standins/load.py
@@ -38,6 +38,10 @@
         """Begin to sample."""
         self.loop.start(SAMPLE_PERIOD_S)
 
+    def stop(self):
+        """Sample no more."""
+        self.loop.stop()
+
     def sample(self):
         """Note the load of this moment."""
         self.samples.append(self.capacity.held)
--- a/kumquatshift/standins/relays.py
+++ b/kumquatshift/standins/relays.py
@@ -56,6 +56,12 @@
         """Begin to close idle sockets."""
         self.sweeper.start(SWEEP_PERIOD_S, now=False)
 
+    def stop(self):
+        """Close all sockets."""
+        self.sweeper.stop()
+        for flow in list(self.flows):
+            self._close(flow)
+
     def receive(self, datagram):
         """Take one datagram of a caller."""
         flow = Flow(datagram.src, datagram.dst)
--- a/kumquatshift/standins/target.py
+++ b/kumquatshift/standins/target.py
@@ -11,7 +11,7 @@
 
 from ..logs import Part, logger_for
 from ..settings import TargetStandinSettings
-from .admin import Button, JsonPage, admin_site
+from .admin import Button, JsonPage, admin_site, stop_ports
 from .application import Application, ApplicationSettings
 from .decapsulator import Decapsulator
 from .load import LoadReport, LoadSettings
@@ -50,6 +50,7 @@
             Segment: self.tcp.receive,
         }
         self.coap = None
+        self.ports = []
 
     async def start(self):
         """Open all ports; those of the servers first."""
@@ -58,18 +59,35 @@
             self.app.site(), bind=(f"::ffff:{host}", COAP_PORT), transports=["udp6"]
         )
         self.coap = await defer.Deferred.fromFuture(asyncio.ensure_future(serving))
-        self.reactor.listenTCP(HTTP_PORT, make_website(self.app), interface=host)
+        self._listen_tcp(HTTP_PORT, make_website(self.app))
         self.app.start()
         self.load.start()
         self.udp.start()
-        self.reactor.listenUDP(PACKET_PORT, self.decapsulator, host, DATAGRAM_BYTES)
+        port = self.reactor.listenUDP(
+            PACKET_PORT, self.decapsulator, host, DATAGRAM_BYTES
+        )
+        self.ports.append(port)
         pages = {
             b"load": JsonPage(self.load.read),
             b"chill": Button(self.app.capacity.chill),
         }
-        self.reactor.listenTCP(ADMIN_PORT, admin_site(self.dump, pages), interface=host)
+        self._listen_tcp(ADMIN_PORT, admin_site(self.dump, pages))
         log.info("Target {} starts at {}.", self.settings.name, host)
 
+    async def stop(self):
+        """Close all ports and let the servers end."""
+        self.app.stop()
+        self.load.stop()
+        self.udp.stop()
+        self.tcp.table.abort_all()
+        await stop_ports(self.ports)
+        ending = asyncio.ensure_future(self.coap.shutdown())
+        await defer.Deferred.fromFuture(ending)
+
+    def _listen_tcp(self, number, factory):
+        host = self.settings.address
+        self.ports.append(self.reactor.listenTCP(number, factory, interface=host))
+
     def dump(self):
         """Return the whole state."""
         capacity = self.app.capacity
