--- /dev/null
+++ b/tests/features/bench.feature
@@ -0,0 +1,87 @@
+Feature: The load tool finds what must not happen, and nothing else
+
+  Scenario Outline: An answer that is <answer> is <verdict>
+    Given a request for <path>
+    When its answer is <answer>
+    Then the answer is <verdict>
+
+    Examples:
+      | path | answer                   | verdict |
+      | work | its own                  | right   |
+      | work | that of another request  | wrong   |
+      | work | that of another service  | wrong   |
+      | work | cut short                | wrong   |
+      | work | empty                    | wrong   |
+      | work | a bare number            | wrong   |
+      | big  | its own                  | right   |
+      | big  | that of another request  | wrong   |
+      | big  | that of another service  | wrong   |
+      | big  | cut short                | wrong   |
+      | big  | empty                    | wrong   |
+
+  Scenario Outline: A caller that gets <replies> counts <counts>
+    Given a caller whose service replies <replies>
+    When the caller sends one request
+    Then the tally has <counts>
+    And the request was sent <sent> times with the same id
+
+    Examples:
+      | replies             | counts                              | sent |
+      | answer              | sent 1, answered 1                  | 1    |
+      | refusal, answer     | sent 1, refused 1, answered 1       | 2    |
+      | refusal, refusal, answer | sent 1, refused 2, answered 1  | 3    |
+      | unknown             | sent 1, unknown 1                   | 1    |
+      | error               | sent 1, error 4.04 1                | 1    |
+      | wrong               | sent 1, wrong 1                     | 1    |
+      | silence             | sent 1, lost 1                      | 1    |
+      | refusal, silence    | sent 1, refused 1, lost 1           | 2    |
+
+  Scenario Outline: A run in which <happening> breaks <rules>
+    Given a run that was clean, with a domain out from 100 s to 110 s
+    When it also saw that <happening>
+    Then the broken rules are <rules>
+
+    Examples:
+      | happening                                           | rules |
+      | nothing else happened                               | none |
+      | a wrong answer came                                 | 1 wrong answers |
+      | a request was lost                                  | 1 requests of surviving domains lost |
+      | a request that the domain's target ran was lost     | none |
+      | a request that another target ran was lost          | 1 requests of surviving domains lost |
+      | a request on a connection to the domain was lost    | none |
+      | a request on a connection elsewhere was lost        | 1 requests of surviving domains lost |
+      | a watch of the domain broke at 105 s                | none |
+      | a watch of the domain broke at 95 s                 | 1 watches of surviving domains broken |
+      | a watch of the domain broke at 130 s                | 1 watches of surviving domains broken |
+      | a watch of another domain broke at 105 s            | 1 watches of surviving domains broken |
+      | a post ran on two targets                           | 1 non-idempotent requests run more than once |
+      | a post of an earlier run ran on two targets         | none |
+      | a get ran on two targets                            | none |
+      | the domain got a packet at 102 s                    | none |
+      | the domain got a packet at 104 s                    | 1 packets to a domain that was out |
+      | the domain got a packet at 111 s                    | none |
+      | another domain got a packet at 104 s                | none |
+      | a target's dump could not be read                   | 1 targets whose dump could not be read |
+      | no request was answered                             | no request was answered |
+
+  Scenario Outline: The platform's objects <seen> give <outages>
+    When the load tool saw <seen> of a domain
+    Then its outages are <outages>
+
+    Examples:
+      | seen                  | outages     |
+      | in in in              | none        |
+      | in out out in         | 1-2         |
+      | out out               | 0-1         |
+      | in out miss out in    | 1-3         |
+      | in out in out         | 1-1 3-3     |
+
+  Scenario: Imbalance is that of the work that targets ran
+    Given targets of one service that ran 10, 20 and 30 requests
+    Then the imbalance is 1.50 and 0.41
+
+  Scenario: A whole run over a small site breaks no rule
+    Given a small site with 2 entries
+    And a platform with the site's objects
+    When the load tool runs for 3 seconds
+    Then it sent requests to both services, all were answered, and watches stayed
