--- a/kumquatshift/bench/requests.py
+++ b/kumquatshift/bench/requests.py
@@ -125,10 +125,10 @@
         elif reply.kind is ReplyKind.ERROR:
             self.tally.count(f"error {reply.code}", self.service)
         else:
-            self.judge(req, reply.payload, self.clock.seconds() - sent_s)
+            self.judge(req, reply.payload, sent_s)
         return reply
 
-    def judge(self, req, payload, took_s):
+    def judge(self, req, payload, sent_s):
         """Count an answer as right or wrong."""
         if not req.answered_by(payload, self.load.big_bytes):
             self.tally.count("wrong", self.service)
@@ -136,7 +136,8 @@
             return
         if req.path is Path.WORK:
             self.target = read_answer(payload).get("target", "")
-        self.tally.answered(self.service, took_s)
+        took_s = self.clock.seconds() - sent_s
+        self.tally.answered(self.service, sent_s, took_s)
 
     def lose(self, req, sent_s, cause):
         """Count a request that got no answer."""
--- a/kumquatshift/bench/site.py
+++ b/kumquatshift/bench/site.py
@@ -6,7 +6,7 @@
 
 import treq
 
-from ..engine.objects import DomainState, Kind
+from ..engine.objects import DomainState, Kind, TargetState
 
 TIMEOUT_S = 2.0
 ADMIN_PORT = 7300
@@ -38,12 +38,16 @@
 
 @dataclass
 class SiteView:
-    """Targets of ``services`` and domains, as the platform had them in the run."""
+    """Targets of ``services`` and domains, as the platform had them in the run.
+
+    ``retired_s`` tells of each target that is retired since when it was seen so.
+    """
 
     services: Set[str]
     targets: dict[str, KnownTarget] = field(default_factory=dict)
     outages: list[Outage] = field(default_factory=list)
     out_now: dict[str, Outage] = field(default_factory=dict)
+    retired_s: dict[str, float] = field(default_factory=dict)
     seen_s: float | None = None
 
     def take_in(self, items, asked_s, answered_s):
@@ -52,18 +56,22 @@
             if item.get("deleted") or not item.get("body"):
                 continue
             if item["kind"] == Kind.TARGET:
-                self._see_target(item["name"], item["body"])
+                self._see_target(item["name"], item["body"], answered_s)
             elif item["kind"] == Kind.DOMAIN:
                 state = item["body"].get("state", DomainState.IN)
                 is_out = state == DomainState.OUT
                 self._see_domain(item["name"], is_out, asked_s, answered_s)
         self.seen_s = asked_s
 
-    def _see_target(self, name, body):
+    def _see_target(self, name, body, answered_s):
         service = body["service"]
-        if service in self.services:
-            known = KnownTarget(name, service, body["domain"], body["host"])
-            self.targets[name] = known
+        if service not in self.services:
+            return
+        self.targets[name] = KnownTarget(name, service, body["domain"], body["host"])
+        if body.get("state", TargetState.ADMITTED) == TargetState.RETIRED:
+            self.retired_s.setdefault(name, answered_s)
+        else:
+            self.retired_s.pop(name, None)
 
     def _see_domain(self, name, is_out, asked_s, answered_s):
         outage = self.out_now.get(name)
--- a/kumquatshift/standins/target.py
+++ b/kumquatshift/standins/target.py
@@ -103,6 +103,7 @@
             "streams": len(self.tcp.table.streams),
             "posts": self.app.posts.runs,
             "gets": self.app.gets.runs,
+            "run_times_s": [*self.app.posts.times_s, *self.app.gets.times_s],
             "arrivals": [
                 [arrival.time_s, arrival.source, arrival.caller]
                 for arrival in self.decapsulator.arrivals
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -61,6 +61,9 @@
       | the domain got a packet at 104 s                    | 1 packets to a domain that was out |
       | the domain got a packet at 111 s                    | none |
       | another domain got a packet at 104 s                | none |
+      | a retired target ran a request after 2 s            | none |
+      | a retired target ran a request after 4 s            | 1 requests run at a target that was retired |
+      | a retired target kept a connection busy after 4 s   | none |
       | a target's dump could not be read                   | 1 targets whose dump could not be read |
       | no request was answered                             | no request was answered |
 
@@ -76,6 +79,18 @@
       | in out miss out in    | 1-3         |
       | in out in out         | 1-1 3-3     |
 
+  Scenario Outline: Service while a domain moves counts what was sent <when>
+    Given a run that was clean, with a domain out from 100 s to 110 s
+    When a request sent at <second> s was answered and one was lost
+    Then <requests> requests were sent while the domain moved, <share> of them answered
+
+    Examples:
+      | when                | second | requests | share |
+      | before              | 99     | 1        | 1     |
+      | while it was out    | 104    | 3        | 0.667 |
+      | just after it       | 114    | 3        | 0.667 |
+      | long after it       | 120    | 1        | 1     |
+
   Scenario: Imbalance is that of the work that targets ran
     Given targets of one service that ran 10, 20 and 30 requests
     Then the imbalance is 1.50 and 0.41
