--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -8,13 +8,7 @@
     Record,
     RecordBatch,
     Relay,
-    ReleaseKind,
-    SlotClaim,
-    SlotRelease,
-    SlotVerdict,
-    VerdictKind,
 )
-from ..engine.objects import Priority
 from ..wire import entry_pb2 as pb
 
 
@@ -167,56 +161,6 @@
     )
 
 
-def _claim(claim):
-    return pb.SlotClaim(
-        ticket=claim.ticket,
-        service=claim.service,
-        priority=claim.priority.value,
-        remaining_ms=claim.remaining_ms,
-        pinned=claim.pinned,
-        avoid=claim.avoid,
-    )
-
-
-def _read_claim(envelope):
-    claim = envelope.claim
-    return SlotClaim(
-        claim.ticket,
-        claim.service,
-        Priority(claim.priority),
-        claim.remaining_ms,
-        claim.pinned,
-        tuple(claim.avoid),
-    )
-
-
-def _verdict(verdict):
-    return pb.SlotVerdict(
-        ticket=verdict.ticket,
-        kind=verdict.kind,
-        target=verdict.target,
-        backlog_ms=verdict.backlog_ms,
-    )
-
-
-def _read_verdict(envelope):
-    verdict = envelope.verdict
-    kind = VerdictKind(verdict.kind)
-    return SlotVerdict(verdict.ticket, kind, verdict.target, verdict.backlog_ms)
-
-
-def _release(release):
-    return pb.SlotRelease(
-        ticket=release.ticket, kind=release.kind, max_age_ms=release.max_age_ms
-    )
-
-
-def _read_release(envelope):
-    release = envelope.release
-    kind = ReleaseKind(release.kind)
-    return SlotRelease(release.ticket, kind, release.max_age_ms)
-
-
 def _read_records(envelope):
     return decode_batch(envelope.records)
 
@@ -225,16 +169,10 @@
     Relay: ("relay", _relay),
     RecordBatch: ("records", encode_batch),
     Heartbeat: ("heartbeat", _heartbeat),
-    SlotClaim: ("claim", _claim),
-    SlotVerdict: ("verdict", _verdict),
-    SlotRelease: ("release", _release),
 }
 
 _READERS = {
     "relay": _read_relay,
     "records": _read_records,
     "heartbeat": _read_heartbeat,
-    "claim": _read_claim,
-    "verdict": _read_verdict,
-    "release": _read_release,
 }
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -86,9 +86,7 @@
             return self._router.relay(message, now)
         if isinstance(message, RecordBatch):
             return self._router.records(peer, message, now)
-        if isinstance(message, Heartbeat):
-            return self._heartbeat(message, now)
-        return self._requests.slot_message(peer, message, now)
+        return self._heartbeat(message, now)
 
     def objects(self, objects: Iterable[Versioned]) -> list[Action]:
         """Take configuration objects, from the platform or from a peer."""
--- a/kumquatshift/engine/messages.py
+++ b/kumquatshift/engine/messages.py
@@ -3,8 +3,6 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from .objects import Priority
-
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -88,61 +86,4 @@
     heard: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class SlotClaim:
-    """A primary asks the owner of a service's slots for one of them.
-
-    ``ticket`` names the claim; asking again with it changes nothing.
-    ``remaining_ms`` is the time left for the request. ``pinned`` is the only
-    target that will do, if there is one; ``avoid`` are targets already tried.
-    """
-
-    ticket: bytes
-    service: str
-    priority: Priority
-    remaining_ms: int
-    pinned: str = ""
-    avoid: tuple[str, ...] = ()
-
-
-class VerdictKind(IntEnum):
-    """What the owner of slots says to a claim."""
-
-    GRANTED = 0
-    WAITING = 1
-    NO_TARGET = 2
-    QUEUE_FULL = 3
-    TOO_LATE = 4
-    EXPIRED = 5
-
-
-@dataclass(frozen=True, slots=True)
-class SlotVerdict:
-    """The owner's answer; ``backlog_ms`` is how long its work will take."""
-
-    ticket: bytes
-    kind: VerdictKind
-    target: str = ""
-    backlog_ms: int = 0
-
-
-class ReleaseKind(IntEnum):
-    """How a request that held a slot ended."""
-
-    GOOD = 0
-    SHED = 1
-    FAILED = 2
-    LOST = 3
-    CANCELLED = 4
-
-
-@dataclass(frozen=True, slots=True)
-class SlotRelease:
-    """A primary gives a slot back, or takes a waiting claim out."""
-
-    ticket: bytes
-    kind: ReleaseKind
-    max_age_ms: int = 0
-
-
-Message = Relay | RecordBatch | Heartbeat | SlotClaim | SlotVerdict | SlotRelease
+Message = Relay | RecordBatch | Heartbeat
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -10,29 +10,22 @@
 is the primary. A request that may not run twice is passed on only while two of
 the three holders are seasoned and in reach. Any two pairs of three share one,
 so two sides never both run it. The others hold what they are told meanwhile.
+
+All requests of a service have the same holders, so that one entry gives out the
+slots of the service's targets, and no two count on the same slot.
 """
 
 from .actions import Action, DropReason, SendCaller, SendPeer, SendTarget
 from .decisions import Decision, Forward, Pass, Refuse, Return
-from .messages import (
-    Direction,
-    Message,
-    Record,
-    RecordBatch,
-    Relay,
-    SlotClaim,
-    SlotRelease,
-    SlotVerdict,
-)
+from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
 from .objects import Mode
-from .owners import OwnedSlots
 from .packets import KEY_BYTES, flow_key, reverse_key
 from .refusals import note_of
 from .requests import RequestPolicy
-from .ring import bucket_of, score
+from .ring import bucket_of
 from .slots import SlotPool
-from .store import ServiceView
+from .store import ServiceView, service_address
 
 SEASON_EXTRA_S = 2.0
 RECORDS_PER_BATCH = 20
@@ -45,11 +38,9 @@
     def __init__(self, node: Node):
         self._node = node
         self._started_at = node.clock.seconds()
-        self._outbox: list[Action] = []
         now = node.clock.seconds()
         self._pool = SlotPool.from_config({}, [], now)
-        self._slots = OwnedSlots(node.name, self._pool, self._owner_of, self._post)
-        self._policy = RequestPolicy.from_config({}, self._slots, self, node.rng)
+        self._policy = RequestPolicy.from_config({}, self._pool, self, node.rng)
         self._usable: frozenset[str] = frozenset()
         self._rings = (node.members.known, node.members.ring)
         self._to_copy: list[tuple[str, Record]] = []
@@ -120,16 +111,6 @@
         if view is not None and view.created == record.service:
             self._policy.adopt(view.service.name, record, now)
 
-    def slot_message(self, peer: str, message: Message, now: float) -> list[Action]:
-        """Take a claim, a verdict or a release of another entry."""
-        if isinstance(message, SlotClaim):
-            self._slots.take_claim(peer, message, now)
-        elif isinstance(message, SlotVerdict):
-            self._slots.take_verdict(message)
-        elif isinstance(message, SlotRelease):
-            self._slots.take_release(message, now)
-        return self.tick(now)
-
     def tick(self, now: float) -> list[Action]:
         """Decide what time alone decides; to be called every 50 ms or so."""
         return self._carry_out(self._policy.tick(now)) + self._copies()
@@ -159,7 +140,7 @@
                 ]
 
     def _was_primary(self, flow, known, ring):
-        present = [h for h in known.holders(bucket_of(flow)) if h in ring.present]
+        present = [h for h in known.holders(_bucket(flow)) if h in ring.present]
         return bool(present) and present[0].name == self._node.name
 
     def _copies(self):
@@ -177,10 +158,11 @@
             for start in range(0, len(each), RECORDS_PER_BATCH)
         ]
 
-    def primary(self, view: ServiceView, bucket: int) -> str:
-        """Return the entry that decides on a bucket's requests, "" if none does."""
+    def primary(self, view: ServiceView) -> str:
+        """Return the entry that decides on a service's requests, "" if none does."""
         node = self._node
         now = node.clock.seconds()
+        bucket = bucket_of(service_address(view.service))
         for holder in node.members.known.holders(bucket):
             if self._counts(holder.name, view, now):
                 return holder.name
@@ -191,7 +173,7 @@
         view = self._view(flow)
         if view is None:
             return False
-        return self.primary(view, bucket_of(flow)) == self._node.name
+        return self.primary(view) == self._node.name
 
     def is_certain(self, flow: bytes) -> bool:
         """Tell whether two of the flow's three holders are of one mind."""
@@ -201,7 +183,7 @@
             return False
         if not node.members.members:
             return True
-        holders = node.members.known.holders(bucket_of(flow))
+        holders = node.members.known.holders(_bucket(flow))
         inside = node.name in (holder.name for holder in holders)
         return inside and 2 * (1 + len(self._seasoned(flow))) > len(holders)
 
@@ -224,7 +206,7 @@
         return tuple(name for name in names if not self._counts(name, view, now))
 
     def _other_holders(self, flow):
-        holders = self._node.members.known.holders(bucket_of(flow))
+        holders = self._node.members.known.holders(_bucket(flow))
         return [h.name for h in holders if h.name != self._node.name]
 
     def _counts(self, name, view, now):
@@ -237,16 +219,7 @@
         return now - node.members.members[name].first_heard >= _season_s(view)
 
     def _view(self, flow):
-        return self._node.store.by_address.get(flow[4:8] + flow[10:KEY_BYTES])
-
-    def _owner_of(self, service):
-        """Return the entry that gives out the slots of a service."""
-        names = self._node.members.ring.names
-        seed = bucket_of(service.encode())
-        return max(names, key=lambda name: score(seed, name), default="")
-
-    def _post(self, peer, message):
-        self._outbox.append(SendPeer(peer, message))
+        return self._node.store.by_address.get(_address(flow))
 
     def _record(self, note):
         view = self._view(note.key)
@@ -259,8 +232,7 @@
         actions = []
         for decision in decisions:
             actions += self._action(decision)
-        sent, self._outbox = self._outbox, []
-        return actions + sent
+        return actions
 
     def _action(self, decision):
         if isinstance(decision, Return):
@@ -310,3 +282,11 @@
 
 def _season_s(view):
     return view.profile.request_timeout_s + SEASON_EXTRA_S
+
+
+def _address(flow):
+    return flow[4:8] + flow[10:KEY_BYTES]
+
+
+def _bucket(flow):
+    return bucket_of(_address(flow))
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -110,7 +110,7 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = self._primary(view, bucket, holders)
+        primary = self._primary(view, holders)
         if primary == node.name:
             return self._decide(view, key, bucket, data, now)
         flow = node.flows.get(key)
@@ -132,7 +132,7 @@
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
-        primary = self._primary(view, bucket, holders)
+        primary = self._primary(view, holders)
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
@@ -244,16 +244,16 @@
         view = node.store.by_address.get(source(relay.data))
         if not holders or view is None:
             return self._answer(view, relay.data, now)
-        primary = self._primary(view, bucket, holders)
+        primary = self._primary(view, holders)
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
             return self._answer(view, relay.data, now)
         return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
 
-    def _primary(self, view, bucket, holders):
+    def _primary(self, view, holders):
         if view.profile.mode is Mode.REQUEST:
-            return self._requests.primary(view, bucket)
+            return self._requests.primary(view)
         return holders[0].name
 
     def _answer(self, view, data, now):
