--- a/kumquatshift/adapters/driver.py
+++ b/kumquatshift/adapters/driver.py
@@ -117,7 +117,10 @@
     def dump(self) -> dict:
         """Return the whole state."""
         state = asdict(dump(self._engine))
-        return state | {"wire_bytes": dict(sorted(self._wire_bytes.items()))}
+        return state | {
+            "wire_bytes": dict(sorted(self._wire_bytes.items())),
+            "metrics": asdict(self._metrics.snapshot()),
+        }
 
     def metrics(self) -> str:
         """Return the metrics page."""
@@ -158,6 +161,8 @@
         )
 
     def _tick(self):
+        for profile, seconds in self._engine.latencies():
+            self._metrics.record_latency(profile, seconds)
         self._carry_out(self._engine.tick())
 
     def _request_tick(self):
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -144,6 +144,10 @@
         """For each request service, whether we know which requests are new."""
         return self._requests.seasoned_for(self.node.clock.seconds())
 
+    def latencies(self) -> list[tuple[str, float]]:
+        """Return profile and seconds of each request answered since the last call."""
+        return self._requests.latencies()
+
     def counters(self) -> dict[str, int]:
         """Return what was counted, by cause."""
         return dict(self.node.counters) | self._requests.counts
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -55,6 +55,17 @@
         }
         return stopped | refused
 
+    def latencies(self) -> list[tuple[str, float]]:
+        """Return profile and seconds of each request answered since the last call."""
+        by_name = self._node.store.by_name
+        taken = [
+            (by_name[each.service].profile.name, each.seconds)
+            for each in self._policy.latencies
+            if each.service in by_name
+        ]
+        self._policy.latencies.clear()
+        return taken
+
     def configure(self, now: float) -> list[Action]:
         """Take the configuration in force, and give up targets that are gone."""
         node = self._node
--- a/kumquatshift/engine/requests.py
+++ b/kumquatshift/engine/requests.py
@@ -5,9 +5,9 @@
 primary never passed the request on. All else is "outcome unknown".
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from returns.pipeline import is_successful
 
@@ -25,6 +25,9 @@
 from .refusals import Refusals, note_of
 from .slots import Outcome, SlotPool
 
+#: Latencies kept until they are read; the earliest go first.
+MAX_LATENCIES = 10_000
+
 
 class SoleEntry:
     """Standing of an entry that has no peers."""
@@ -38,6 +41,18 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class Latency:
+    """How long one request of a service took, from its first packet, in seconds."""
+
+    service: str
+    seconds: float
+
+
+def _few_latencies():
+    return deque(maxlen=MAX_LATENCIES)
+
+
 @dataclass
 class RequestPolicy:
     """Decides requests and answers of the flows that this entry is primary of.
@@ -51,12 +66,13 @@
             ...
 
     ``counts`` holds packets that went no further by `Cause`, ``refused`` the
-    refusals by (`ErrorKind`, `Cause`).
+    refusals by (`ErrorKind`, `Cause`); ``latencies`` is emptied by who reads it.
     """
 
     dispatcher: Dispatcher
     exchanges: ExchangeTable
     answers: AnswerReader
+    latencies: deque[Latency] = field(default_factory=_few_latencies)
 
     @classmethod
     def from_config(
@@ -118,6 +134,8 @@
             return decisions
         if answer.outcome is Outcome.SHED and exchange.phase is Phase.SENT:
             return decisions + self._shed(answer, now)
+        if answer.outcome is Outcome.GOOD:
+            self.latencies.append(Latency(exchange.service, now - exchange.born))
         decisions += self.answers.deliver(answer, now)
         return decisions + self.dispatcher.release(exchange, answer.outcome, now)
 
--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -58,7 +58,8 @@
     driver = EntryDriver(cfg, engine, reactor, Sealer.from_config(cfg.keys), control)
     if cfg.platform.url:
         driver.use_platform(_platform(cfg, reactor))
-    listen_admin(reactor, cfg.entry.address, cfg.entry.admin_port, driver)
+    context = tls.admin_context(cfg.tls)
+    listen_admin(reactor, cfg.entry.address, cfg.entry.admin_port, driver, context)
     server = _serve_control(cfg, driver)
     server.add_done_callback(lambda _: driver.start())
     reactor.addSystemEventTrigger("before", "shutdown", driver.drain)
--- a/kumquatshift/settings/entry.py
+++ b/kumquatshift/settings/entry.py
@@ -76,12 +76,6 @@
         default="4096",
         unit="bytes a second",
     )
-    records_per_s: int = key(
-        Whole(1, 100_000),
-        "Most flow records copied in the background.",
-        default="200",
-        unit="records a second",
-    )
     max_flows: int = key(
         Whole(100, 10_000_000),
         "Most flows held; above it new flows are refused.",
