--- a/kumquatshift/engine/choice.py
+++ b/kumquatshift/engine/choice.py
@@ -64,8 +64,12 @@
     def _cost(self, target, held, mean, key, now):
         factor = (held.get(target.name, 0) + 1) / (mean + 1)
         factor = min(MAX_HELD_FACTOR, max(1 / MAX_HELD_FACTOR, factor))
+        share = self.share(target.name, now)
+        if share < 1:
+            # That it holds little yet must not outweigh that it is cold.
+            factor = max(1.0, factor)
         opened = self._recent(target.name, now) + 1
-        cost = opened * factor / self.share(target.name, now)
+        cost = opened * factor / share
         return cost, xxhash.xxh32_intdigest(key + target.name.encode())
 
     def _recent(self, name, now):
--- a/kumquatshift/engine/flows.py
+++ b/kumquatshift/engine/flows.py
@@ -16,7 +16,8 @@
     ``unanswered`` counts the caller's packets since the last answer, the first of
     them at ``unanswered_since``; ``answered`` tells whether any answer ever came.
     ``proven`` tells whether the record is known to have reached every holder, and
-    ``placings`` counts the packets that carried it without a proof.
+    ``placings`` counts the packets that carried it without a proof. ``opened_here``
+    tells whether this entry chose the target, for which no answer came yet.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "closing",
         "holders",
         "last_seen",
+        "opened_here",
         "placed_at",
         "placings",
         "proven",
@@ -42,6 +44,7 @@
         self.placed_at = STALE_S
         self.placings = 0
         self.proven = False
+        self.opened_here = False
         self.tentative_until = NEVER_S
         self.unanswered = 0
         self.unanswered_since = 0.0
@@ -89,6 +92,7 @@
             self._count(record.target, 1)
         if _is_another_opening(flow.record, record):
             flow.closing = False
+            flow.opened_here = False
             flow.unanswered = 0
         flow.record = record
         flow.last_seen = now
--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -152,11 +152,16 @@
         return True
 
     def leaving(self, now: float) -> tuple[str, ...]:
-        """Return the members that leave but still hold flows."""
+        """Return the members that leave but still hold flows.
+
+        Those of a failure domain that is out get no packets any more.
+        """
         return tuple(
             member.name
             for member in self.members.values()
-            if self.alive(member, now) and member.state is EntryState.LEAVING
+            if self.alive(member, now)
+            and member.state is EntryState.LEAVING
+            and self._domain_in(member.domain)
         )
 
     def _forget(self, now):
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -142,6 +142,8 @@
         changes = _changes_state(data)
         if flow.closing and changes and tcp_flags(data) & TCP_SYN:
             return self._open(view, key, bucket, data, now, flow.record.epoch + 1)
+        if self._opened_towards_cut(flow, view):
+            return self._open(view, key, bucket, data, now, flow.record.epoch + 1)
         if self._is_silent(flow, view, now):
             return self._end_silent(flow, view, data, now)
         holders = node.members.ring.holders(bucket)
@@ -166,6 +168,7 @@
         record = Record(key, target.name, view.created, born_ms, epoch, tentative)
         flow = node.flows.put(record, bucket, now)
         flow.tentative_until = now + TENTATIVE_S
+        flow.opened_here = True
         node.counters["opened"] += 1
         self._note_unanswered(flow, now)
         return self._place(flow, view, data, now)
@@ -243,6 +246,7 @@
             flow.unanswered = 0
             flow.answered = True
             flow.proven = True
+            flow.opened_here = False
             flow.placings = 0
             self._answered[flow.record.target] = now
             if data[9] == PROTOCOL_TCP and tcp_flags(data) & (TCP_FIN | TCP_RST):
@@ -340,6 +344,20 @@
         node.flows.remove(flow.record.key)
         return self._open(view, flow.record.key, bucket, data, now, epoch)
 
+    def _opened_towards_cut(self, flow, view):
+        """Tell whether a flow was opened towards a domain just cut off.
+
+        A cut is noticed late; what was opened in the meantime has reached no
+        target, and may be opened again at one that can be reached.
+        """
+        node = self._node
+        if not flow.opened_here:
+            return False
+        if node.reaches(node.usable(flow.record, view).domain):
+            return False
+        notice_s = node.timers.suspect_s + node.timers.heartbeat_s
+        return flow.record.born_ms / 1000 > node.ring_changed_at - notice_s
+
     def _note_unanswered(self, flow, now):
         """Count a packet that is not answered yet.
 
--- /dev/null
+++ b/tests/features/steps/flows_steps.py
@@ -0,0 +1,70 @@
+from unittest import mock
+
+from behave import then, when
+
+from kumquatshift.engine import ring
+from kumquatshift.engine.entry import EntryEngine
+from kumquatshift.engine.sweep import Sweeper
+from tests.support.naive import NaiveEngine
+from tests.support.schedule import FLOWS, Schedule
+
+NETWORKS = {
+    "a quiet network": {},
+    "lost packets": {"loss": 0.02, "jitter_s": 0.001},
+    "reordered packets": {"jitter_s": 0.05},
+}
+SECONDS = 60
+
+
+def run_both(context, pairs, seed, network):
+    context.broken = {}
+    for engine in (EntryEngine, NaiveEngine):
+        schedule = Schedule(engine, seed, pairs, SECONDS, **NETWORKS[network])
+        context.broken[engine] = schedule.run()
+        kinds = [event[0] for event in schedule.events]
+        print(
+            f"{engine.__name__}, seed {seed}, {network}: {context.broken[engine]}"
+            f" of {FLOWS} flows broken; {kinds}"
+        )
+
+
+@when("flows run a schedule of single failures, seed {seed:d}, {network}")
+def step_single(context, seed, network):
+    run_both(context, False, seed, network)
+
+
+@when("flows run a schedule of failures in pairs, seed {seed:d}, {network}")
+def step_pairs(context, seed, network):
+    run_both(context, True, seed, network)
+
+
+@then("flows broken are 0 with the engine, and more with the naive version")
+def step_none_broken(context):
+    assert context.broken[EntryEngine] == 0, context.broken
+    assert context.broken[NaiveEngine] > 0, context.broken
+
+
+@then(
+    "flows broken are at most 1 in 1,000 with the engine,"
+    " and more with the naive version"
+)
+def step_few_broken(context):
+    assert context.broken[EntryEngine] * 1000 <= FLOWS, context.broken
+    assert context.broken[NaiveEngine] * 1000 > FLOWS, context.broken
+
+
+@when("flows run a schedule with the engine without {mechanism}")
+def step_without(context, mechanism):
+    off = {
+        "standbys": mock.patch.object(ring, "COPIES", 1),
+        "copies in the background": mock.patch.object(Sweeper, "step", lambda *_: []),
+    }
+    with off[mechanism]:
+        schedule = Schedule(EntryEngine, 1, False, SECONDS, every_s=40.0)
+        context.count = schedule.run()
+    print(f"without {mechanism}: {context.count} broken")
+
+
+@then("flows broken are more than 0")
+def step_some_broken(context):
+    assert context.count > 0
