--- a/kumquatshift/engine/choice.py
+++ b/kumquatshift/engine/choice.py
@@ -51,7 +51,10 @@
         """Return the target for a new flow, or None if none can take it."""
         if not usable:
             return None
-        mean = sum(held.get(target.name, 0) for target in usable) / len(usable)
+        mean = None
+        # That a cold target holds little must not outweigh that it is cold.
+        if all(self.share(target.name, now) >= 1 for target in usable):
+            mean = sum(held.get(target.name, 0) for target in usable) / len(usable)
         chosen = min(usable, key=lambda t: self._cost(t, held, mean, key, now))
         self._openings[chosen.name] = (self._recent(chosen.name, now) + 1, now)
         return chosen
@@ -62,14 +65,12 @@
         return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * age_s / WARM_UP_S)
 
     def _cost(self, target, held, mean, key, now):
-        factor = (held.get(target.name, 0) + 1) / (mean + 1)
-        factor = min(MAX_HELD_FACTOR, max(1 / MAX_HELD_FACTOR, factor))
-        share = self.share(target.name, now)
-        if share < 1:
-            # That it holds little yet must not outweigh that it is cold.
-            factor = max(1.0, factor)
+        factor = 1.0
+        if mean is not None:
+            factor = (held.get(target.name, 0) + 1) / (mean + 1)
+            factor = min(MAX_HELD_FACTOR, max(1 / MAX_HELD_FACTOR, factor))
         opened = self._recent(target.name, now) + 1
-        cost = opened * factor / share
+        cost = opened * factor / self.share(target.name, now)
         return cost, xxhash.xxh32_intdigest(key + target.name.encode())
 
     def _recent(self, name, now):
