--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -117,6 +117,11 @@
         recent = now - member.last_heard <= self.timers.suspect_s
         return recent and member.hears_us
 
+    def last_heard(self, domain: str) -> float:
+        """Return when the last heartbeat came from a failure domain."""
+        times = [m.last_heard for m in self.members.values() if m.domain == domain]
+        return max(times, default=float("-inf"))
+
     def heard_names(self, now: float) -> tuple[str, ...]:
         """Return the names of the members whose heartbeats arrive."""
         return tuple(
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -351,12 +351,17 @@
         target, and may be opened again at one that can be reached.
         """
         node = self._node
-        if not flow.opened_here:
+        domain = node.usable(flow.record, view).domain
+        if flow.answered or node.reaches(domain):
             return False
-        if node.reaches(node.usable(flow.record, view).domain):
+        if not any(node.reaches(target.domain) for target in node.choices(view)):
             return False
-        notice_s = node.timers.suspect_s + node.timers.heartbeat_s
-        return flow.record.born_ms / 1000 > node.ring_changed_at - notice_s
+        born = flow.record.born_ms / 1000
+        heartbeat_s = node.timers.heartbeat_s
+        if born > node.members.last_heard(domain) + heartbeat_s:
+            return True
+        notice_s = node.timers.suspect_s + heartbeat_s
+        return flow.opened_here and born > node.ring_changed_at - notice_s
 
     def _note_unanswered(self, flow, now):
         """Count a packet that is not answered yet.
--- a/kumquatshift/engine/store.py
+++ b/kumquatshift/engine/store.py
@@ -110,10 +110,10 @@
         for obj in live:
             bodies[obj.kind][obj.name] = obj
         self.domains = {n: o.body for n, o in bodies[Kind.DOMAIN].items()}
-        self.targets = {n: o.body for n, o in bodies[Kind.TARGET].items()}
+        self.targets = _targets_by_name(bodies[Kind.TARGET].values())
         self.by_name = {
             name: _service_view(obj, bodies[Kind.PROFILE])
-            for name, obj in bodies[Kind.SERVICE].items()
+            for name, obj in sorted(bodies[Kind.SERVICE].items(), key=_made)
         }
         self.by_address = {
             service_address(view.service): view for view in self.by_name.values()
@@ -130,6 +130,24 @@
     return address + service.port.to_bytes(2, "big") + bytes([protocol])
 
 
+def _made(item):
+    _name, obj = item
+    return obj.created, obj.version
+
+
+def _targets_by_name(objects):
+    """Return the targets; of several at one host and port the last one made.
+
+    News of an address that is used again may come before news that its earlier
+    target is gone; packets of the earlier service must not reach the new one.
+    The same holds for services at one address.
+    """
+    owners = {}
+    for obj in sorted(objects, key=lambda obj: (obj.created, obj.version)):
+        owners[obj.body.host, obj.body.port] = obj.body
+    return {target.name: target for target in owners.values()}
+
+
 def _service_view(obj, profiles):
     profile = profiles.get(obj.body.profile)
     body = profile.body if profile is not None else Profile(obj.body.profile)
