--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -122,6 +122,11 @@
         recent = now - member.last_heard <= self.timers.suspect_s
         return recent and member.hears_us
 
+    def last_heard(self, domain: str) -> float:
+        """Return when the last heartbeat came from a failure domain."""
+        times = [m.last_heard for m in self.members.values() if m.domain == domain]
+        return max(times, default=float("-inf"))
+
     def heard_names(self, now: float) -> tuple[str, ...]:
         """Return the names of the members whose heartbeats arrive."""
         return tuple(
@@ -160,11 +165,16 @@
         return True
 
     def leaving(self, now: float) -> tuple[str, ...]:
-        """Return the members that leave but still hold flows."""
+        """Return the members that leave but still hold flows.
+
+        Those of a failure domain that is out get no packets any more.
+        """
         return tuple(
             member.name
             for member in self.members.values()
-            if self.alive(member, now) and member.state is EntryState.LEAVING
+            if self.alive(member, now)
+            and member.state is EntryState.LEAVING
+            and self._domain_in(member.domain)
         )
 
     def _may_serve(self, member):
