--- a/kumquatshift/engine/dispatch.py
+++ b/kumquatshift/engine/dispatch.py
@@ -52,10 +52,11 @@
     def is_certain(self, flow: bytes) -> bool:
         """Tell whether no other entry can have decided, or can now decide.
 
-        False for `MAX_TRANSMIT_SPAN_S` after this entry started, or took the
-        flow over without its records, and while fewer than two of the flow's
-        three holders, this one included, are in reach and have run that long:
-        any two decisions then pass a holder that sees both.
+        True while at least two of the flow's three holders, this one included
+        if it is one, are in reach and have run for `MAX_TRANSMIT_SPAN_S`: each
+        decision passes all holders in reach, so any two decisions pass one
+        that sees both. An entry that has just started is no witness, but it
+        may decide while the other two are.
         """
         ...
 
@@ -219,6 +220,9 @@
             self._claims[claim.ticket] = (claim, exchange)
             self.exchanges.add(exchange)
             return [Queue(exchange.key)]
+        if not self.standing.is_primary(exchange.flow):
+            self.abandon(exchange, now)
+            return []
         cause = CAUSES[verdict.reason]
         return [self.refuse_unsent(exchange, cause, now, verdict.backlog_s)]
 
--- a/kumquatshift/measures/request_schedules.py
+++ b/kumquatshift/measures/request_schedules.py
@@ -13,6 +13,16 @@
 TARGETS = ("t0", "t1", "t2")
 NODES = ENTRIES + TARGETS
 FAULTS = ("kill sender", "kill receiver", "lose", "copy", "delay")
+
+#: What may befall a packet, and where. The network may copy packets anywhere
+#: but on the way from an entry to a target: a copy there may meet a target
+#: that restarted in between, and nothing of ours stands between the two.
+HOP_FAULTS = tuple(
+    (hop, fault)
+    for hop in HOPS
+    for fault in FAULTS
+    if (hop, fault) != ("standby to target", "copy")
+)
 CODES = (Code.POST, Code.POST, Code.PATCH, Code.GET, Code.PUT)
 TOKENS = (b"\x01", b"\x02", b"\x03")
 PAUSES_S = (0.0, 0.1, 0.4, 1.2, 2.5, 8.0)
@@ -146,7 +156,7 @@
     elif call == "cut":
         args = (chance.choice(ENTRIES), chance.choice(NODES))
     elif call == "fault":
-        args = (chance.choice(HOPS), chance.choice(FAULTS))
+        args = chance.choice(HOP_FAULTS)
     return Event(chance.choice(PAUSES_S), call, args)
 
 
--- a/kumquatshift/measures/request_site.py
+++ b/kumquatshift/measures/request_site.py
@@ -25,6 +25,7 @@
 HOP_S = 0.002
 SUSPECT_S = 1.0
 HOLDERS = 3
+WITNESSES = 2
 SLOTS = 1
 RETRANSMIT_S = (2.0, 4.0)
 
@@ -100,9 +101,10 @@
         return self.primary() is self
 
     def is_certain(self, flow):
-        """Tell whether two of the three holders are of one mind."""
+        """Tell whether two of the three holders know all, and will be asked."""
         inside = self in self.site.entries[:HOLDERS]
-        return inside and self.is_seasoned() and bool(self.holders())
+        seasoned = len(self.holders()) + self.is_seasoned()
+        return inside and seasoned >= WITNESSES
 
     def tick(self):
         """Let the policy's time pass."""
--- a/kumquatshift/measures/requests.py
+++ b/kumquatshift/measures/requests.py
@@ -1,6 +1,9 @@
 """Measures of the request policy: what runs twice, what is untrue, who waits."""
 
 import random
+from statistics import fmean
+
+from aiocoap.numbers.codes import Code
 
 from ..engine.objects import Priority, Profile
 from . import allowances
@@ -9,6 +12,7 @@
 from .measure import Measure, at_least, at_most, exactly, reported
 from .naive_requests import naive_policy
 from .request_schedules import Findings, play, random_schedule
+from .request_site import Site
 
 SEED = 11
 SCHEDULES = 120
@@ -17,6 +21,11 @@
 #: The scheme that entries follow; see docs/DESIGN-REQUESTS.md.
 SCHEME = next(scheme for scheme in SCHEMES if scheme.name == "primary per service")
 
+LOSS_SEEDS = 3
+LOSS_REQUESTS = 80
+LOSS_PAUSE_S = 0.25
+LOSS_WARM_UP_S = 12.0
+
 ALERT = "alert"
 REPORT = "report"
 ALERT_SHARE = 0.2
@@ -50,6 +59,16 @@
     )
 
 
+def measure_entry_loss() -> tuple[Measure, ...]:
+    """Stop the primary while requests that may not run twice come steadily."""
+    lost = [_share_answered(seed, "kill", "e0") for seed in range(LOSS_SEEDS)]
+    again = [_share_answered(seed, "restart", "e0") for seed in range(LOSS_SEEDS)]
+    return (
+        reported("answered_share_primary_killed", fmean(lost)),
+        reported("answered_share_primary_restarted", fmean(again)),
+    )
+
+
 def measure_cold_targets() -> tuple[Measure, ...]:
     """Admit a cold target, and let a warm one turn cold without a sign."""
     start = allowances.with_cold_start(SCHEME).targets["h0"]
@@ -137,6 +156,19 @@
     return sum(ends) / len(ends)
 
 
+def _share_answered(seed, call, *args):
+    site = Site(seed)
+    site.run(LOSS_WARM_UP_S)
+    for mid in range(LOSS_REQUESTS):
+        if mid == LOSS_REQUESTS // 4:
+            getattr(site, call)(*args)
+        site.caller.send(f"r{mid}", Code.POST, mid, b"%d" % mid)
+        site.run(LOSS_PAUSE_S)
+    site.run(LOSS_WARM_UP_S)
+    told = site.caller.told.values()
+    return sum(text.startswith("ran") for text in told) / LOSS_REQUESTS
+
+
 def _play(number, **options):
     chance = random.Random(SEED)
     findings = Findings()
@@ -147,6 +179,7 @@
 
 MEASURES = (
     measure_promises,
+    measure_entry_loss,
     measure_cold_targets,
     measure_steady_load,
     measure_priorities,
