--- a/kumquatshift/cli/report.py
+++ b/kumquatshift/cli/report.py
@@ -4,10 +4,14 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from returns.pipeline import is_successful
+from returns.result import Result
 from tabulate import tabulate
 
 from ..codec import subject
 from ..engine.objects import Kind, Versioned
+from ..errors import Failure
+from ..platform_port import Listing
 from .entries import Entry
 from .waiting import judge, wishes
 
@@ -16,7 +20,7 @@
 
 @dataclass(frozen=True)
 class DomainRow:
-    """One failure domain."""
+    """One failure domain; ``flows`` are those that its entries decide for."""
 
     domain: str
     state: str
@@ -41,13 +45,17 @@
 
 @dataclass(frozen=True)
 class TargetRow:
-    """One target; ``share`` is its part of the work of its service."""
+    """One target; ``share`` is its part of the work of its service.
+
+    ``held`` counts the records of its flows at all entries, so a flow counts once
+    for each entry that holds a copy.
+    """
 
     target: str
     service: str
     domain: str
     state: str
-    flows: int
+    held: int
     sent: int
     share: float
 
@@ -66,13 +74,14 @@
 
 
 def build(
-    version: int | None,
-    objects: Sequence[Versioned],
+    listing: Result[Listing, Failure],
     entries: Sequence[Entry],
-    dumps: Mapping[str, Mapping | None],
-    missing: Sequence[str] = (),
+    answers: Mapping[str, Result[Mapping, Failure]],
 ) -> SiteReport:
-    """Return the report; ``dumps`` has None for an entry without an answer."""
+    """Return the report on what the platform holds and what entries dumped."""
+    version, objects, missing = _standing(listing)
+    failures = [one.failure() for one in answers.values() if not is_successful(one)]
+    dumps = {name: answer.value_or(None) for name, answer in answers.items()}
     versions = {
         name: None if dump is None else dump.get("versions", {})
         for name, dump in dumps.items()
@@ -88,7 +97,7 @@
         entries=tuple(rows),
         targets=targets,
         late=tuple(str(late) for late in waiting.behind),
-        missing=tuple(missing),
+        missing=tuple(missing + [str(failure) for failure in failures]),
     )
 
 
@@ -145,10 +154,10 @@
 
 
 def _target_rows(objects, dumps):
-    flows, sent = Counter(), Counter()
+    held, sent = Counter(), Counter()
     for dump in dumps:
         for name, figures in (dump or {}).get("targets", {}).items():
-            flows[name] += figures.get("flows", 0)
+            held[name] += figures.get("flows", 0)
             sent[name] += figures.get("sent", 0)
     bodies = [obj.body for obj in objects if obj.kind is Kind.TARGET]
     totals = Counter()
@@ -160,7 +169,7 @@
             service=body.service,
             domain=body.domain,
             state=body.state.value,
-            flows=flows[body.name],
+            held=held[body.name],
             sent=sent[body.name],
             share=sent[body.name] / (totals[body.service] or 1),
         )
@@ -179,12 +188,19 @@
                 row.domain == body.name and row.state != NO_ANSWER for row in entries
             ),
             targets=sum(row.domain == body.name for row in targets),
-            flows=sum(row.flows for row in targets if row.domain == body.name),
+            flows=sum(row.primary or 0 for row in entries if row.domain == body.name),
         )
         for body in sorted(bodies, key=lambda body: body.name)
     )
 
 
-def missing_of(kind: Kind, name: str) -> str:
-    """Say that an object could not be read."""
-    return f"{subject(kind, name)} cannot be read; kumquat-ctl is too old for it"
+def _standing(listing):
+    """Return version, objects, and what could not be read."""
+    if not is_successful(listing):
+        return None, (), [str(listing.failure())]
+    found = listing.unwrap()
+    missing = [
+        f"{subject(*key)} cannot be read; is kumquat-ctl too old for it?"
+        for key in found.skipped
+    ]
+    return found.version, found.items, missing
