--- a/kumquatshift/engine/slots.py
+++ b/kumquatshift/engine/slots.py
@@ -80,7 +80,9 @@
 class SlotPool:
     """Gives out the slots of a set of targets to claims of several services.
 
-    Targets that have the same host share its slots. Times are in seconds. One
+    Targets that have the same host share its slots. Times are in seconds.
+    ``cut_off`` names failure domains out of reach: their targets get nothing
+    new, but for the later blocks of a transfer that one of them holds. One
     pool decides for its targets alone: two pools that hold the same target
     each count only what they gave out themselves.
     """
@@ -89,6 +91,7 @@
     profiles: dict[str, Profile] = field(default_factory=dict)
     hosts: dict[str, Allowance] = field(default_factory=dict)
     queue: ClaimQueue = field(default_factory=ClaimQueue)
+    cut_off: frozenset[str] = frozenset()
     _leases: dict[bytes, _Lease] = field(default_factory=dict)
     _times: dict[str, _ServiceTimes] = field(default_factory=dict)
     _members: dict[str, list[Target]] = field(default_factory=dict)
@@ -233,7 +236,9 @@
         return [
             target
             for target in self._members.get(claim.service, ())
-            if target.state is TargetState.ADMITTED and target.name not in claim.avoid
+            if target.state is TargetState.ADMITTED
+            and target.name not in claim.avoid
+            and target.domain not in self.cut_off
         ]
 
     def _has_room(self, target, service, now):
--- a/tests/features/allowance.feature
+++ b/tests/features/allowance.feature
@@ -62,6 +62,17 @@
     And 9 claims come
     Then the retired target has only what it had
 
+  Scenario Outline: Targets of a domain that is out of reach get no new work
+    Given a slot pool of 2 warm targets with 2 slots
+    When the domain "<domain>" is out of reach
+    And 9 claims come
+    Then <number> are granted in all
+
+    Examples:
+      | domain | number |
+      | north  | 0      |
+      | south  | 4      |
+
   Scenario Outline: Entries that share targets through their domains' owners
     Then with seed <seed> a cold target is never overloaded
     And with seed <seed> a target that turns cold unseen is overloaded at most twice a turn
--- a/tests/features/steps/allowance_steps.py
+++ b/tests/features/steps/allowance_steps.py
@@ -132,6 +132,11 @@
     context.pool.configure(context.profiles, [retired, *others], context.now)
 
 
+@when('the domain "{domain}" is out of reach')
+def step_out_of_reach(context, domain):
+    context.pool.cut_off = frozenset({domain})
+
+
 @then("the retired target has only what it had")
 def step_retired(context):
     after = sum(each.target == "s0" for each in granted(context))
