--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -265,6 +265,18 @@
     When kumquat-ctl runs "dump e1"
     Then kumquat-ctl ends with SUCCESS and the output says ""incarnation": 1"
 
+  Scenario Outline: Entries that ask for certificates are reached with one of the site: <own>
+    Given a site with the demo's objects and an entry that asks for certificates
+    When kumquat-ctl with <own> runs "dump e1"
+    Then kumquat-ctl ends with <status>
+
+    Examples:
+      | own                       | status      |
+      | a certificate of the site | SUCCESS     |
+      | a stranger's certificate  | UNAVAILABLE |
+      | an expired certificate    | BAD_SETTINGS |
+      | no certificate            | UNAVAILABLE |
+
   Scenario: With the platform out, entries that the settings name are asked
     Given a site with the demo's objects and the entries follows, follows
     And the platform has the fault {"outage": true}
