--- a/kumquatshift/cli/writer.py
+++ b/kumquatshift/cli/writer.py
@@ -21,7 +21,11 @@
 READ_BACK_TRIES = 4
 READ_BACK_WAIT_S = 0.5
 HISTORY_TIMEOUT_S = 6.0
-UNTOLD = "whether your write took effect before it is unknown"
+UNTOLD = "whether your own write took effect first is unknown"
+NOT_YET = (
+    "your own write has not taken effect, but if it is still on its way, and the"
+    " object is removed, it may"
+)
 UNSURE = (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.TIMEOUT)
 
 
@@ -99,7 +103,10 @@
         if standing is not None and standing.operation == operation:
             return Success(Written(standing.version, operation, True))
         upto = standing.version if standing else 0
-        ours = await self._find_in_history(change, operation, upto)
+        for _ in range(READ_BACK_TRIES):
+            ours = await self._find_in_history(change, operation, upto)
+            if ours is not UNTOLD:
+                break
         return result.Failure(conflict(change, standing, ours))
 
     async def _find_in_history(self, change, operation, upto):
@@ -110,7 +117,7 @@
             if isinstance(event, Versioned) and event.operation == operation:
                 _fire(done, f"your write took effect before it, as {event.version}")
             elif event.version >= upto:
-                _fire(done, "your write did not take effect")
+                _fire(done, _not_found(change))
 
         def on_end(_):
             _fire(done, UNTOLD)
@@ -134,6 +141,15 @@
     return Conflict(ErrorKind.CONFLICT, text, remedy, standing)
 
 
+def _not_found(change):
+    """Say that our write is not among the changes made so far.
+
+    A change under a version that is past can no longer take effect. A creation
+    asks only that nothing stands, which comes true again with a removal.
+    """
+    return "your write did not take effect" if change.version else NOT_YET
+
+
 def _told(change, standing):
     if standing is None or standing.body is None:
         by = f" by operation {standing.operation}" if standing else ""
