--- a/kumquatshift/cli/changes.py
+++ b/kumquatshift/cli/changes.py
@@ -1,13 +1,13 @@
 """What has to change so that wanted objects stand, and how it is told."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from returns import result
 from returns.result import Result, Success
 
 from ..codec import body_to_json, kind_of, subject
-from ..consistency import check_change, check_removal
+from ..consistency import check_change, check_removal, unserved
 from ..engine.objects import Body, Kind, Versioned
 from ..errors import ErrorKind, Failure
 from .files import Wanted
@@ -73,6 +73,27 @@
         return differences(self.before and self.before.body, self.after)
 
 
+@dataclass(frozen=True)
+class Plan:
+    """Changes in the order of their making; ``notes`` tell what they bring about."""
+
+    changes: tuple[Change, ...]
+    notes: tuple[str, ...] = ()
+
+    @classmethod
+    def of(cls, standing: Sequence[Versioned], changes: Sequence[Change]) -> "Plan":
+        """Return the plan, noting the services that it leaves without targets."""
+        before = {(obj.kind, obj.name): obj.body for obj in standing if obj.body}
+        after = before | {(one.kind, one.name): one.after for one in changes}
+        lost = unserved(filter(None, after.values())) - unserved(before.values())
+        known = {name for kind, name in before if kind is Kind.SERVICE}
+        notes = [
+            f"{subject(Kind.SERVICE, name)} has no target in service any more"
+            for name in sorted(lost & known)
+        ]
+        return cls(tuple(changes), tuple(notes))
+
+
 def differences(before: Body | None, after: Body | None) -> tuple[Difference, ...]:
     """Return the fields in which two bodies differ."""
     old = body_to_json(before) if before else {}
@@ -85,8 +106,8 @@
 
 
 def plan_apply(
-    standing: Iterable[Versioned], wanted: Sequence[Wanted]
-) -> Result[tuple[Change, ...], Failure]:
+    standing: Sequence[Versioned], wanted: Sequence[Wanted]
+) -> Result[Plan, Failure]:
     """Return the changes, those that others need first; check what they lead to.
 
     A state that the file does not name stays as it stands, so that applying a
@@ -103,33 +124,36 @@
         changes.append(Change(one.kind, one.body.name, before, after))
     bodies = [obj.body for obj in live.values()]
     checked = check_change(bodies, [change.after for change in changes])
-    return checked.map(lambda _: tuple(changes))
+    return checked.map(lambda _: Plan.of(standing, changes))
 
 
 def plan_state(
-    standing: Iterable[Versioned], kind: Kind, name: str, state
-) -> Result[tuple[Change, ...], Failure]:
+    standing: Sequence[Versioned], kind: Kind, name: str, state
+) -> Result[Plan, Failure]:
     """Return the change of one object's state."""
-    return find(standing, kind, name).map(
-        lambda obj: (Change(kind, name, obj, replace(obj.body, state=state), True),)
-    )
+
+    def plan(obj):
+        change = Change(kind, name, obj, replace(obj.body, state=state), True)
+        return Plan.of(standing, [change])
+
+    return find(standing, kind, name).map(plan)
 
 
 def plan_remove(
-    standing: Iterable[Versioned], kind: Kind, name: str
-) -> Result[tuple[Change, ...], Failure]:
+    standing: Sequence[Versioned], kind: Kind, name: str
+) -> Result[Plan, Failure]:
     """Return the removal of one object; refuse it while others need it."""
     bodies = [obj.body for obj in standing if obj.body is not None]
 
     def check(obj):
         allowed = check_removal(bodies, (kind, name))
-        return allowed.map(lambda _: (Change(kind, name, obj, None),))
+        return allowed.map(lambda _: Plan.of(standing, [Change(kind, name, obj, None)]))
 
     return find(standing, kind, name).bind(check)
 
 
 def find(
-    standing: Iterable[Versioned], kind: Kind, name: str
+    standing: Sequence[Versioned], kind: Kind, name: str
 ) -> Result[Versioned, Failure]:
     """Return one live object by its name."""
     for obj in standing:
--- a/kumquatshift/cli/execution.py
+++ b/kumquatshift/cli/execution.py
@@ -14,7 +14,7 @@
 from ..platform_port import Platform
 from ..status import ExitStatus
 from . import outcomes, report
-from .changes import Change, plan_apply, plan_remove, plan_state
+from .changes import Plan, plan_apply, plan_remove, plan_state
 from .constants import ENTRY_ROLE, PROGRAM, STDIN
 from .entries import Entry, EntryClient, ask_all
 from .files import read_objects
@@ -92,17 +92,17 @@
 
     @_do.register
     async def _(self, request: ApplyRequest):
-        changes = await self._plan_file(request.path, request.kind)
-        if _failed(changes):
-            return changes
-        return await self._change(changes.unwrap(), request.options)
+        plan = await self._plan_file(request.path, request.kind)
+        if _failed(plan):
+            return plan
+        return await self._change(plan.unwrap(), request.options)
 
     @_do.register
     async def _(self, request: DiffRequest):
-        changes = await self._plan_file(request.path, None)
-        if _failed(changes):
-            return changes
-        return self._print_plan(changes.unwrap(), request.as_json)
+        plan = await self._plan_file(request.path, None)
+        if _failed(plan):
+            return plan
+        return self._print_plan(plan.unwrap(), request.as_json)
 
     @_do.register
     async def _(self, request: RemoveRequest):
@@ -165,12 +165,12 @@
         listing = await self._platform.list_objects()
         return listing.bind(lambda found: plan_apply(found.items, wanted.unwrap()))
 
-    async def _plan_and_change(self, plan, args, options):
+    async def _plan_and_change(self, make_plan, args, options):
         listing = await self._platform.list_objects()
-        changes = listing.bind(lambda found: plan(found.items, *args))
-        if _failed(changes):
-            return changes
-        return await self._change(changes.unwrap(), options)
+        plan = listing.bind(lambda found: make_plan(found.items, *args))
+        if _failed(plan):
+            return plan
+        return await self._change(plan.unwrap(), options)
 
     def _read_file(self, path):
         try:
@@ -182,9 +182,11 @@
             failure = Failure(ErrorKind.BAD_INPUT, f"{path}: {exc}", remedy)
             return result.Failure(failure)
 
-    async def _change(self, changes: Sequence[Change], options: ChangeOptions):
+    async def _change(self, plan: Plan, options: ChangeOptions):
         if options.dry_run:
-            return self._print_plan(changes, options.as_json)
+            return self._print_plan(plan, options.as_json)
+        self._printer.notes(plan.notes)
+        changes = plan.changes
         done, failure = await self._write_all(changes)
         waited = None
         if failure is None and options.wait_s is not None:
@@ -200,9 +202,11 @@
             return result.Failure(failure)
         return result.Success(waited.status if waited else ExitStatus.SUCCESS)
 
-    def _print_plan(self, changes, as_json):
-        plan = [outcomes.planned(one) for one in changes if one.action != "keep"]
-        self._printer.changes(plan, None, as_json)
+    def _print_plan(self, plan, as_json):
+        self._printer.notes(plan.notes)
+        changes = [one for one in plan.changes if one.action != "keep"]
+        planned = [outcomes.planned(change) for change in changes]
+        self._printer.changes(planned, None, as_json)
         return DONE
 
     async def _write_all(self, changes):
--- a/kumquatshift/cli/printing.py
+++ b/kumquatshift/cli/printing.py
@@ -29,6 +29,11 @@
             self._env.stderr.write(f"  remedy: {failure.remedy}\n")
         return ANSWERS[failure.kind].exit_status
 
+    def notes(self, notes: Sequence[str]) -> None:
+        """Print what an operator should know of a change, on the error stream."""
+        for note in notes:
+            self._env.stderr.write(f"{PROGRAM}: note: {note}\n")
+
     def objects(self, items: Sequence[Versioned], as_json: bool) -> None:
         """Print objects of one kind."""
         if as_json:
--- a/kumquatshift/consistency.py
+++ b/kumquatshift/consistency.py
@@ -6,7 +6,15 @@
 from returns.result import Result, Success
 
 from .codec import bad_input, kind_of, subject
-from .engine.objects import Body, Kind, Service, Target
+from .engine.objects import (
+    Body,
+    Domain,
+    DomainState,
+    Kind,
+    Service,
+    Target,
+    TargetState,
+)
 from .errors import ErrorKind, Failure
 from .fields import Mistake, nearest
 
@@ -70,6 +78,21 @@
     return result.Failure(Failure(ErrorKind.FORBIDDEN, text, remedy))
 
 
+def unserved(bodies: Iterable[Body]) -> set[str]:
+    """Return the services with no admitted target in a domain that is in."""
+    bodies = list(bodies)
+    domains = {b.name for b in bodies if isinstance(b, Domain)}
+    domains -= {b.name for b in bodies if b == Domain(b.name, DomainState.OUT)}
+    served = {
+        body.service
+        for body in bodies
+        if isinstance(body, Target)
+        and body.state is TargetState.ADMITTED
+        and body.domain in domains
+    }
+    return {b.name for b in bodies if isinstance(b, Service)} - served
+
+
 def _check_references(body, names):
     about = subject(kind_of(body), body.name)
     mistakes = []
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -109,6 +109,20 @@
     And kumquat-ctl runs "domain in north-b"
     Then target "t1" is admitted and domain "north-b" is in
 
+  Scenario Outline: A change that leaves a service without targets in service is noted: <line>
+    Given a site with the demo's objects
+    When bert runs "target retire w1"
+    And kumquat-ctl runs "<line>"
+    Then kumquat-ctl ends with SUCCESS and the notes are "<notes>"
+
+    Examples:
+      | line                           | notes                                        |
+      | domain out north-b             | service/web has no target in service any more |
+      | domain out north-b --dry-run   | service/web has no target in service any more |
+      | target remove w2               | service/web has no target in service any more |
+      | domain out north-a             | none                                         |
+      | target retire w1               | none                                         |
+
   Scenario: What show prints can be edited and applied, but not over another's change
     Given a site with the demo's objects
     When target "t1" is shown and edited, another sets its slots to 5, and it is applied
--- a/tests/features/steps/ctl_steps.py
+++ b/tests/features/steps/ctl_steps.py
@@ -204,6 +204,14 @@
     step_output(context, told)
 
 
+@then('kumquat-ctl ends with SUCCESS and the notes are "{notes}"')
+def step_notes(context, notes):
+    step_ended(context, "SUCCESS")
+    lines = context.ran.err.splitlines()
+    found = [line.removeprefix("kumquat-ctl: note: ") for line in lines]
+    assert (", ".join(found) or "none") == notes, context.ran
+
+
 @then('the output says "{told}"')
 def step_output(context, told):
     assert told in context.ran.out, context.ran
