--- a/extras/demo/runner.py
+++ b/extras/demo/runner.py
@@ -91,7 +91,16 @@
         return [run.name for run in self.runs.values() if run.returncode is not None]
 
     def stop_all(self):
-        """End all processes; kill those that do not end by themselves."""
+        """End all processes; kill those that do not end by themselves.
+
+        Another Ctrl-C meanwhile changes nothing, and a process that is just
+        being started is waited for, so that none is left behind.
+        """
+        for signum in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(signum, signal.SIG_IGN)
+        starting = [run for run in self.runs.values() if run.pid is None]
+        for run in starting:
+            wait_for(lambda run=run: run.pid is not None, START_LIMIT_S, run.name)
         for signum in (signal.SIGTERM, signal.SIGKILL):
             for name in self.runs:
                 self.signal(name, signum)
--- a/kumquatshift/bench/requests.py
+++ b/kumquatshift/bench/requests.py
@@ -120,12 +120,13 @@
             return None
         if reply.kind is ReplyKind.REFUSAL:
             self.tally.count("refused", self.service)
-        elif reply.kind is ReplyKind.UNKNOWN:
-            self.tally.count("unknown", self.service)
-        elif reply.kind is ReplyKind.ERROR:
-            self.tally.count(f"error {reply.code}", self.service)
-        else:
+        elif reply.kind is ReplyKind.ANSWER:
             self.judge(req, reply.payload, sent_s)
+        else:
+            is_unknown = reply.kind is ReplyKind.UNKNOWN
+            name = "unknown" if is_unknown else f"error {reply.code}"
+            self.tally.count(name, self.service)
+            self.tally.unserved_s.append(sent_s)
         return reply
 
     def judge(self, req, payload, sent_s):
