--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -11,6 +11,8 @@
 )
 from ..wire import entry_pb2 as pb
 
+MAX_BORN_MS = 2**64 - 1
+
 
 class MalformedEnvelopeError(ValueError):
     """The bytes are authentic but no envelope of this version."""
@@ -46,7 +48,10 @@
 
 
 def decode_batch(batch: pb.RecordBatch) -> RecordBatch:
-    """Return the records of a batch; raise ValueError if columns differ."""
+    """Return the records of a batch.
+
+    Raises ValueError or IndexError if the columns do not fit each other.
+    """
     records = [record for group in batch.groups for record in _read_group(group)]
     return RecordBatch(tuple(records))
 
@@ -86,6 +91,8 @@
     for key, index, after, epoch, tentative, detail in zip(*columns, strict=True):
         target = group.targets[index]
         born_ms = group.first_born_ms + after
+        if not 0 <= born_ms <= MAX_BORN_MS:
+            raise ValueError("a record's birth is out of range")
         yield Record(key, target, group.service, born_ms, epoch, tentative, detail)
 
 
--- /dev/null
+++ b/tests/features/steps/envelope_steps.py
@@ -0,0 +1,148 @@
+"""Contract of the envelope: what goes in comes out, and nothing else does."""
+
+from behave import then
+from hypothesis import given as given_values, settings, strategies as st
+
+from kumquatshift.adapters.envelope import MalformedEnvelopeError, decode, encode
+from kumquatshift.engine.messages import (
+    Direction,
+    EntryState,
+    Heartbeat,
+    Record,
+    RecordBatch,
+    Relay,
+)
+from kumquatshift.wire import entry_pb2 as pb
+
+U32 = st.integers(0, 2**32 - 1)
+U64 = st.integers(0, 2**64 - 1)
+NAMES = st.text(st.characters(codec="utf-8"), max_size=20)
+PATHS = st.lists(NAMES, max_size=9).map(tuple)
+# Births lie within the range that the signed column of differences can hold.
+BIRTHS_MS = st.integers(0, 2**62)
+RECORDS = st.builds(
+    Record,
+    st.binary(max_size=24),
+    NAMES,
+    U64,
+    BIRTHS_MS,
+    U32,
+    st.booleans(),
+    st.binary(max_size=40),
+)
+RELAYS = st.builds(
+    Relay,
+    st.binary(max_size=1500),
+    st.sampled_from(Direction),
+    NAMES,
+    PATHS,
+    PATHS,
+    st.none() | RECORDS,
+    U32,
+)
+BATCHES = st.builds(RecordBatch, st.lists(RECORDS, max_size=12).map(tuple))
+BEATS = st.builds(
+    Heartbeat, NAMES, NAMES, U64, U64, st.sampled_from(EntryState), U64, NAMES, PATHS
+)
+MESSAGES = {"Relay": RELAYS, "RecordBatch": BATCHES, "Heartbeat": BEATS}
+ANY_MESSAGE = st.one_of(*MESSAGES.values())
+
+
+def grouped(batch):
+    """Return the records in the order in which columns carry them."""
+    services = list(dict.fromkeys(record.service for record in batch.records))
+    rows = sorted(batch.records, key=lambda record: services.index(record.service))
+    return RecordBatch(tuple(rows))
+
+
+def sent(message):
+    """Return a message as its bytes, from the sender that it names."""
+    return encode(getattr(message, "name", "e1"), message)
+
+
+@st.composite
+def flipped(draw):
+    """Return a message's bytes in which some bits differ."""
+    data = bytearray(sent(draw(ANY_MESSAGE)))
+    for _ in range(draw(st.integers(1, 8))):
+        data[draw(st.integers(0, len(data) - 1))] ^= 1 << draw(st.integers(0, 7))
+    return bytes(data)
+
+
+@st.composite
+def cut_short(draw):
+    """Return a message's first bytes."""
+    data = sent(draw(ANY_MESSAGE))
+    return data[: draw(st.integers(0, len(data)))]
+
+
+@st.composite
+def with_later_fields(draw):
+    """Return a message followed by a field that this version does not know."""
+    number = draw(st.integers(5, 1000))
+    value = draw(st.binary(max_size=60))
+    tag = number << 3 | 2
+    head = bytes([tag & 0x7F | 0x80, tag >> 7]) if tag > 0x7F else bytes([tag])
+    return sent(draw(ANY_MESSAGE)) + head + bytes([len(value)]) + value
+
+
+BYTES = {
+    "random bytes": st.binary(max_size=300),
+    "messages cut short": cut_short(),
+    "messages with flipped bits": flipped(),
+    "messages of later fields": with_later_fields(),
+}
+
+
+def record_group(**fields):
+    """Return an envelope with one group of records, all columns of one row."""
+    row = {"keys": [b"k"], "targets": ["t"], "target_index": [0], "born_after_ms": [0]}
+    return pb.Envelope(records={"groups": [row | fields]})
+
+
+ENVELOPES = {
+    "nothing at all": pb.Envelope(),
+    "a sender and no body": pb.Envelope(sender="e1"),
+    "an unknown direction": pb.Envelope(relay={"direction": 7}),
+    "an unknown state": pb.Envelope(heartbeat={"state": 9}),
+    "columns of different length": record_group(epochs=[1, 2]),
+    "a target index out of range": record_group(target_index=[1]),
+    "a negative birth": record_group(born_after_ms=[-1]),
+    "a birth out of range": record_group(first_born_ms=2**64 - 1, born_after_ms=[1]),
+}
+
+
+@then("{number:d} generated messages of kind {kind} come back with their sender")
+def step_round_trip(context, number, kind):
+    @settings(max_examples=number, deadline=None, derandomize=True, database=None)
+    @given_values(NAMES, MESSAGES[kind])
+    def check(sender, message):
+        sender = getattr(message, "name", sender)
+        wanted = grouped(message) if kind == "RecordBatch" else message
+        assert decode(encode(sender, message)) == (sender, wanted)
+
+    check()
+
+
+@then("{number:d} envelopes made of {kind} are read or refused as malformed")
+def step_garbage(context, number, kind):
+    @settings(max_examples=number, deadline=None, derandomize=True, database=None)
+    @given_values(BYTES[kind])
+    def check(data):
+        try:
+            sender, message = decode(data)
+        except MalformedEnvelopeError:
+            return
+        # What was read is a message that can be sent again.
+        assert decode(encode(sender, message))[0] == sender
+
+    check()
+
+
+@then("the envelope of {kind} is refused as malformed")
+def step_refused(context, kind):
+    try:
+        told = decode(ENVELOPES[kind].SerializeToString())
+    except MalformedEnvelopeError:
+        return
+    raise AssertionError(told)
