--- a/kumquatshift/engine/allowance.py
+++ b/kumquatshift/engine/allowance.py
@@ -38,6 +38,7 @@
     in_flight: dict[str, int] = field(default_factory=dict)
     good_in_row: int = 0
     failed_in_row: int = 0
+    limit_before_doubt: float = 0.0
     latency_s: float = 0.0
     baseline_s: float = 0.0
     samples: int = 0
@@ -46,6 +47,7 @@
     work_s: float = 0.0
     worked_at: float = 0.0
     foreign: list[float] = field(default_factory=list)
+    heard_at: float = 0.0
     hint: float = 0.0
     hinted_at: float = -HINT_MAX_AGE_S
 
@@ -99,6 +101,8 @@
         self._end(service, latency_s, now)
         self.pause_s = PAUSE_MIN_S
         self.failed_in_row = 0
+        if self.limit_before_doubt:
+            self._end_doubt(latency_s)
         self._learn(latency_s)
         if self._has_jumped():
             self.turn_cold(now)
@@ -136,6 +140,17 @@
         self.turn_cold(now)
         self._pause(self.pause_s, now)
 
+    def doubt(self, service: str, now: float):
+        """Note a lost answer that may not be the target's fault.
+
+        It is given one request at a time until the next answer: one in the
+        usual time shows that the target is as it was.
+        """
+        self._end(service, 0.0, now)
+        if not self.limit_before_doubt:
+            self.limit_before_doubt = self.limit
+        self.limit = COLD_LIMIT
+
     def cancelled(self, service: str, now: float):
         """Note that a request ended without telling anything of the target."""
         self._end(service, 0.0, now)
@@ -149,6 +164,7 @@
 
     def turn_cold(self, now: float):
         """Start again from one request at a time."""
+        self.limit_before_doubt = 0.0
         self.limit = COLD_LIMIT
         self.good_in_row = 0
         self.samples = 0
@@ -175,6 +191,11 @@
         self.work_s = self.work(now) * self.limit + latency_s
         self.worked_at = now
 
+    def _end_doubt(self, latency_s):
+        if latency_s <= LATENCY_LIKE_PEERS * self.baseline_s:
+            self.limit = max(self.limit, self.limit_before_doubt)
+        self.limit_before_doubt = 0.0
+
     def _learn(self, latency_s):
         self.samples += 1
         weight = max(FAST_WEIGHT, 1 / self.samples)
--- a/kumquatshift/engine/slots.py
+++ b/kumquatshift/engine/slots.py
@@ -14,6 +14,14 @@
 SERVICE_TIME_WEIGHT = 1 / 32
 RESERVED_SHARE_MAX = 0.75
 
+#: A slot comes free when no answer has come for the greater of these: a fixed
+#: time, longer than it takes to notice a dead entry, and so many mean times.
+LEASE_MIN_S = 3.0
+LEASE_TIMES = 6.0
+
+#: How many slots that came free early are remembered for a late answer.
+OVERDUE_MAX = 10_000
+
 
 class Outcome(StrEnum):
     """How a request that held a slot ended."""
@@ -71,9 +79,12 @@
 @dataclass(slots=True)
 class _ServiceTimes:
     mean_s: float = LATENCY_GUESS_S
+    samples: int = 0
 
     def learn(self, latency_s):
-        self.mean_s += SERVICE_TIME_WEIGHT * (latency_s - self.mean_s)
+        self.samples += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self.samples)
+        self.mean_s += weight * (latency_s - self.mean_s)
 
 
 @dataclass
@@ -93,6 +104,8 @@
     queue: ClaimQueue = field(default_factory=ClaimQueue)
     cut_off: frozenset[str] = frozenset()
     _leases: dict[bytes, _Lease] = field(default_factory=dict)
+    _overdue: dict[bytes, _Lease] = field(default_factory=dict)
+    _heard_at: float = 0.0
     _times: dict[str, _ServiceTimes] = field(default_factory=dict)
     _members: dict[str, list[Target]] = field(default_factory=dict)
     _reserved: dict[str, dict[str, int]] = field(default_factory=dict)
@@ -153,10 +166,9 @@
         """Give a slot back, and return what that decides for waiting claims."""
         lease = self._leases.pop(ticket, None)
         if lease is None:
+            self._note_late(ticket, outcome, now)
             return []
-        target = self.targets.get(lease.target)
-        if target is not None and target.host in self.hosts:
-            self._note(lease, self.hosts[target.host], outcome, now, max_age_s)
+        self._end(lease, outcome, now, max_age_s)
         return self._dispatch(now)
 
     def withdraw(self, claim: Claim) -> bool:
@@ -165,6 +177,7 @@
 
     def tick(self, now: float) -> list[Verdict]:
         """Reject the claims whose deadline has passed, and grant what can be."""
+        self._end_overdue(now)
         rejected = [
             self._reject(claim, Rejection.EXPIRED)
             for claim in self.queue.pop_expired(now)
@@ -270,7 +283,59 @@
     def _reject(self, claim, reason):
         return Rejected(claim.ticket, reason, self.backlog_s(claim.service))
 
+    def _end(self, lease, outcome, now, max_age_s=0.0):
+        target = self.targets.get(lease.target)
+        if target is None or target.host not in self.hosts:
+            return
+        allowance = self.hosts[target.host]
+        if outcome is Outcome.LOST:
+            self._note_lost(lease, allowance, now)
+        else:
+            self._note(lease, allowance, outcome, now, max_age_s)
+
+    def _note_lost(self, lease, allowance, now):
+        """Tell whose fault a lost answer is.
+
+        Not the target's if it has answered since; perhaps not the target's if
+        no other one has either, since then packets may get lost on the way.
+        """
+        service = lease.claim.service
+        if allowance.heard_at >= lease.since:
+            allowance.cancelled(service, now)
+        elif self._heard_at >= lease.since:
+            allowance.lost(service, now)
+        else:
+            allowance.doubt(service, now)
+
+    def _end_overdue(self, now):
+        """Free the slots of requests that have been without an answer too long."""
+        overdue = []
+        for ticket, lease in self._leases.items():
+            if now - lease.since < LEASE_MIN_S:
+                break
+            if now - lease.since >= self._lease_s(lease.claim.service):
+                overdue.append(ticket)
+        for ticket in overdue:
+            lease = self._leases.pop(ticket)
+            self._overdue[ticket] = lease
+            self._end(lease, Outcome.LOST, now)
+        while len(self._overdue) > OVERDUE_MAX:
+            del self._overdue[next(iter(self._overdue))]
+
+    def _note_late(self, ticket, outcome, now):
+        """Learn from an answer that came after its slot was freed."""
+        lease = self._overdue.pop(ticket, None)
+        if lease is None or outcome is not Outcome.GOOD:
+            return
+        times = self._times.setdefault(lease.claim.service, _ServiceTimes())
+        times.learn(now - lease.since)
+
+    def _lease_s(self, service):
+        return max(LEASE_MIN_S, LEASE_TIMES * self._mean_s(service))
+
     def _note(self, lease, allowance, outcome, now, max_age_s):
+        if outcome in (Outcome.GOOD, Outcome.SHED, Outcome.FAILED):
+            allowance.heard_at = self._heard_at = now
         service = lease.claim.service
         latency_s = now - lease.since
         if outcome is Outcome.GOOD:
@@ -280,8 +345,6 @@
             allowance.shed(service, max_age_s, now)
         elif outcome is Outcome.FAILED:
             allowance.failed(service, latency_s, now)
-        elif outcome is Outcome.LOST:
-            allowance.lost(service, now)
         else:
             allowance.cancelled(service, now)
 
--- a/kumquatshift/measures/requests.py
+++ b/kumquatshift/measures/requests.py
@@ -26,6 +26,10 @@
 LOSS_PAUSE_S = 0.25
 LOSS_WARM_UP_S = 12.0
 
+GAP_START_S = 10.0
+GAP_S = 2.5
+GAP_RUN_S = 30.0
+
 ALERT = "alert"
 REPORT = "report"
 ALERT_SHARE = 0.2
@@ -111,9 +115,24 @@
     return (
         at_least("goodput_overload_ratio", flood_goodput(model), 0.9),
         at_least("answered_share_after_overload", share_after_flood(model), 0.95),
+        at_least("answered_share_after_gap", share_after_gap(gap(SCHEME)), 0.95),
     )
 
 
+def gap(scheme: Scheme, seed: int = SEED) -> Model:
+    """Lose all packets to targets for 2.5 s at 70% of the capacity."""
+    model = allowances.build(scheme, seed)
+    model.gap_s = (GAP_START_S, GAP_START_S + GAP_S)
+    model.offer(Load(SERVICE, NORMAL_SHARE * CAPACITY, 0.0, GAP_RUN_S))
+    model.run(GAP_RUN_S)
+    return model
+
+
+def share_after_gap(model: Model) -> float:
+    """Return the share answered well from `RECOVERY_S` after a gap on."""
+    return _share_since(model, GAP_START_S + GAP_S + RECOVERY_S)
+
+
 def alerts(
     scheme: Scheme,
     bulk: float,
@@ -150,7 +169,10 @@
 
 def share_after_flood(model: Model) -> float:
     """Return the share answered well from `RECOVERY_S` after a flood on."""
-    since_s = FLOOD_S + RECOVERY_S
+    return _share_since(model, FLOOD_S + RECOVERY_S)
+
+
+def _share_since(model, since_s):
     ends = [good for at, good in model.tallies[SERVICE].ends if at >= since_s]
     return sum(ends) / len(ends)
 
