--- a/kumquatshift/engine/allowance.py
+++ b/kumquatshift/engine/allowance.py
@@ -11,15 +11,20 @@
 COLD_LIMIT = 1.0
 GROWTH_ANSWERS = 8
 WARM_UP_S = 10.0
-LATENCY_JUMP = 3.0
 LATENCY_LIKE_PEERS = 2.0
+
+#: A warm target has turned cold when so many of its latest answers took more
+#: than `LATENCY_JUMP` times as long as usual. Single slow answers are common
+#: where requests differ.
+LATENCY_JUMP = 3.0
+JUMP_WINDOW = 8
+JUMP_SLOW = 6
 FAST_WEIGHT = 1 / 4
 SLOW_WEIGHT = 1 / 64
 PAUSE_MIN_S = 0.5
 PAUSE_MAX_S = 8.0
 HINT_MAX_AGE_S = 3.0
 WORK_HALF_LIFE_S = 30.0
-SAMPLES_FOR_JUMP = 8
 FAILURES_FOR_PAUSE = 5
 LATENCY_GUESS_S = 0.1
 
@@ -42,6 +47,7 @@
     latency_s: float = 0.0
     baseline_s: float = 0.0
     samples: int = 0
+    slow: tuple[bool, ...] = ()
     paused_until: float = 0.0
     pause_s: float = PAUSE_MIN_S
     work_s: float = 0.0
@@ -168,6 +174,7 @@
         self.limit = COLD_LIMIT
         self.good_in_row = 0
         self.samples = 0
+        self.slow = ()
         self.latency_s = 0.0
         self.since = now
 
@@ -197,6 +204,8 @@
         self.limit_before_doubt = 0.0
 
     def _learn(self, latency_s):
+        is_slow = latency_s > LATENCY_JUMP * (self.baseline_s or latency_s)
+        self.slow = (*self.slow[1 - JUMP_WINDOW :], is_slow)
         self.samples += 1
         weight = max(FAST_WEIGHT, 1 / self.samples)
         self.latency_s += weight * (latency_s - self.latency_s)
@@ -207,9 +216,7 @@
             self.baseline_s = min(self.baseline_s, self.latency_s)
 
     def _has_jumped(self):
-        if not self.is_warm or self.samples < SAMPLES_FOR_JUMP:
-            return False
-        return self.latency_s > LATENCY_JUMP * self.baseline_s
+        return self.is_warm and sum(self.slow) >= JUMP_SLOW
 
     def _seems_warm(self, peers_s, now):
         if peers_s:
--- a/tests/features/allowance.feature
+++ b/tests/features/allowance.feature
@@ -21,6 +21,8 @@
       | 1 lost answer among silence and 1 good answers in 0.5 s | 1 |
       | 4 server errors                    | 2         |
       | 5 server errors                    | 1         |
+      | 20 good answers in 0.1 s and 5 good answers in 0.5 s | 2 |
+      | 20 good answers in 0.1 s and 6 good answers in 0.5 s | 1 |
       | 20 good answers in 0.1 s and 9 good answers in 0.5 s | 1 |
       | 1 lost answer while others answer and 8 good answers in 0.1 s | 2 |
       | 1 lost answer while others answer and 7 good answers in 0.1 s | 1 |
