--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -191,11 +191,13 @@
         node = self.node
         known = node.members.members.get(beat.name)
         is_new = known is None or known.incarnation != beat.incarnation
+        was_away = known is not None and not node.members.recent(known, now)
         if not node.members.heard(beat, now):
             return []
         self._refresh_ring(now)
         actions = []
-        if is_new:
+        if is_new or was_away:
+            # So that it learns at once that we hear it.
             actions.append(SendPeer(beat.name, self._beat(now)))
         if beat.digest != node.store.digest:
             actions.append(SyncConfig(beat.name))
@@ -203,6 +205,11 @@
 
     def _refresh_ring(self, now):
         node = self.node
+        if node.state is EntryState.LIVE and node.members.unheard(now):
+            # The others go on without us, and what we hold grows old.
+            node.resuming = True
+            node.resumed_at = now
+            self._resume_until = now + MAX_JOIN_S
         include_me = node.state is EntryState.LIVE
         if node.members.refresh(now, include_me):
             node.ring_changed_at = now
--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -114,8 +114,16 @@
 
     def alive(self, member: Member, now: float) -> bool:
         """Tell whether packets reach a member, as far as heartbeats show."""
-        recent = now - member.last_heard <= self.timers.suspect_s
-        return recent and member.hears_us
+        return self.recent(member, now) and member.hears_us
+
+    def recent(self, member: Member, now: float) -> bool:
+        """Tell whether a member's heartbeats arrive."""
+        return now - member.last_heard <= self.timers.suspect_s
+
+    def unheard(self, now: float) -> bool:
+        """Tell whether others are there, of whom none hears us."""
+        there = [m for m in self.members.values() if self.recent(m, now)]
+        return bool(there) and not any(member.hears_us for member in there)
 
     def last_heard(self, domain: str) -> float:
         """Return when the last heartbeat came from a failure domain."""
@@ -125,9 +133,7 @@
     def heard_names(self, now: float) -> tuple[str, ...]:
         """Return the names of the members whose heartbeats arrive."""
         return tuple(
-            member.name
-            for member in self.members.values()
-            if now - member.last_heard <= self.timers.suspect_s
+            member.name for member in self.members.values() if self.recent(member, now)
         )
 
     def excuse(self, gap_s: float) -> None:
--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -89,6 +89,15 @@
         reachable = [t for t in in_service if self.reaches(t.domain)]
         return reachable or in_service
 
+    def cut_off(self) -> bool:
+        """Tell whether a domain in service, with entries listed, is out of reach."""
+        return any(
+            member.listed
+            and member.domain not in self.members.reachable_domains
+            and self.store.domain_in(member.domain)
+            for member in self.members.members.values()
+        )
+
     def reaches(self, domain: str) -> bool:
         """Tell whether a domain can be reached, as far as its entries show."""
         if domain in self.members.reachable_domains:
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -106,7 +106,9 @@
         if primary == node.name:
             return self._decide(view, key, bucket, data, now)
         flow = node.flows.get(key)
-        if flow is not None and not _changes_state(data):
+        # An entry that holds a spare copy is not told when a better one stands.
+        standby = any(holder.name == node.name for holder in holders)
+        if flow is not None and standby and not _changes_state(data):
             target = self._current(flow, view, holders, now)
             if target is not None:
                 flow.last_seen = now
@@ -136,6 +138,9 @@
         node = self._node
         flow = node.flows.get(key)
         if flow is None:
+            if _continues(data) and node.cut_off():
+                # The other side may hold it; the caller sends it again.
+                return [node.drop(DropReason.NO_RECORD)]
             return self._open(view, key, bucket, data, now, epoch=0)
         if node.usable(flow.record, view) is None:
             return self._give_up(flow, view, data, now)
@@ -409,6 +414,11 @@
     return data[9] == PROTOCOL_TCP and tcp_flags(data) & _TCP_CHANGES
 
 
+def _continues(data):
+    """Tell whether a packet belongs to a flow that was opened before."""
+    return data[9] == PROTOCOL_TCP and not tcp_flags(data) & TCP_SYN
+
+
 def _differ(one, other):
     return (one.target, one.epoch, one.service) != (
         other.target,
