--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -34,6 +34,7 @@
 MAX_REDIRECTS = 3
 TENTATIVE_S = 0.25
 SILENT_PACKETS = 3
+MAX_ANSWER_GAP_S = 5.0
 MAX_PLACINGS = 3
 REFRESHES_PER_IDLE_TIMEOUT = 3
 COPIED_IDLE_FACTOR = 1 + 1 / REFRESHES_PER_IDLE_TIMEOUT
@@ -46,7 +47,7 @@
 
     def __init__(self, node: Node):
         self._node = node
-        self._answered: dict[str, float] = {}
+        self._answering: dict[str, tuple[float, float]] = {}
 
     def packet(self, data: bytes, now: float) -> list[Action]:
         """Decide on a packet that came from the fabric."""
@@ -253,7 +254,7 @@
             flow.proven = True
             flow.opened_here = False
             flow.placings = 0
-            self._answered[flow.record.target] = now
+            self._note_answer(flow.record.target, now)
             if data[9] == PROTOCOL_TCP and tcp_flags(data) & (TCP_FIN | TCP_RST):
                 flow.closing = True
         return [SendCaller(data)]
@@ -379,6 +380,16 @@
             flow.unanswered_since = now
         flow.unanswered += 1
 
+    def _note_answer(self, target, now):
+        """Note from when on a target has answered without a longer gap.
+
+        A target that paused as a whole has lost no flow.
+        """
+        since, last = self._answering.get(target, (now, now))
+        if now - last > MAX_ANSWER_GAP_S:
+            since = now
+        self._answering[target] = since, now
+
     def _is_silent(self, flow: Flow, view: ServiceView, now: float) -> bool:
         """Tell whether the target lost the flow, while it answers others."""
         since = flow.unanswered_since
@@ -388,7 +399,10 @@
             return False
         if flow.record.key[12] != PROTOCOL_TCP and not flow.answered:
             return False
-        return self._answered.get(flow.record.target, 0.0) > since
+        answering_since, last = self._answering.get(flow.record.target, (now, 0.0))
+        if now - answering_since <= view.profile.silence_timeout_s:
+            return False
+        return last > since
 
     def _end_silent(self, flow, view, data, now):
         """Reset a lost flow at both ends; a datagram flow opens anew."""
--- /dev/null
+++ b/tests/features/steps/silence_steps.py
@@ -0,0 +1,138 @@
+from behave import given, then, when
+
+from kumquatshift.engine.objects import Kind, Profile
+from kumquatshift.engine.packets import TCP_RST, flow_key, tcp_flags
+from tests.support.site import FEEDS, SYN, TILLS, Site, answer
+
+
+@given(
+    "silence limits of {limit:g} s, and {count:d} TCP flows"
+    " with a packet every {every:g} s"
+)
+def step_site(context, limit, count, every):
+    context.site = site = Site(seed=17, targets=3)
+    profile = Profile("long", silence_timeout_s=limit)
+    site.net.publish(Kind.PROFILE, "long", profile)
+    context.every_s = every
+    context.busy = site.open(count, over_s=every, every_s=every, service=FEEDS)
+    site.net.run(8)
+    context.quiet = []
+
+
+def kill_another(context, flow):
+    """Kill an entry that does not decide for the flow, and start it again."""
+    net = context.site.net
+    key = flow_key(flow.packet())
+    engine = net.engines["e1"]
+    bucket = engine.node.flows.get(key)
+    order = engine.node.members.ring.order(bucket.bucket if bucket else 0)
+    net.kill(order[-1])
+    net.at(5, net.start, order[-1])
+
+
+@when("silence falls on one flow, others of its target are answered, {meanwhile}")
+def step_silent(context, meanwhile):
+    site = context.site
+    context.flow = flow = context.busy[0]
+    flow.silent = True
+    context.resets_at = []
+
+    def at_target(name, action):
+        same = site.flows.get(flow_key(action.data)) is flow
+        if same and tcp_flags(action.data) & TCP_RST:
+            context.resets_at.append((site.net.now, action.host))
+
+    site.net.target_hooks.append(at_target)
+    context.silent_at = site.net.now
+    if "fails" in meanwhile and "nothing" not in meanwhile:
+        site.net.run(1)
+        kill_another(context, flow)
+
+
+@then("silence ends in a reset at caller and target within {limit:g} s and {grace:g} s")
+def step_reset(context, limit, grace):
+    net, flow = context.site.net, context.flow
+    while not (flow.resets and context.resets_at):
+        net.run(0.25)
+        waited_s = net.now - context.silent_at
+        assert waited_s <= limit + grace, (waited_s, flow.resets, context.resets_at)
+    print(f"reset after {net.now - context.silent_at:.2f} s, limit {limit} s")
+    assert context.resets_at[0][1] == flow.host
+
+
+@then("the silent flow's caller opens anew and is answered")
+def step_anew(context):
+    site, flow = context.site, context.flow
+    flow.stopped, flow.silent = True, False
+    site.net.run(2 * context.every_s)
+    flow.hosts, flow.host, flow.answered_at, flow.resets = (), None, 0.0, 0
+    for _ in range(4):
+        site.send(flow, **({} if flow.answered_at else {"flags": SYN}))
+        site.net.run(1)
+    assert flow.answered_at and len(flow.hosts) == 1 and not flow.resets, flow
+
+
+@then("silence resets no other flow")
+def step_no_other(context):
+    assert not any(flow.resets for flow in context.busy if flow is not context.flow)
+
+
+@when("silence falls on a whole target for {seconds:d} s")
+def step_target_silent(context, seconds):
+    host = context.busy[0].host
+    context.site.mute.add(host)
+    context.site.net.run(seconds)
+    context.site.mute.clear()
+    context.site.net.run(5)
+
+
+@then("silence resets no flow")
+def step_no_reset(context):
+    reset = [flow for flow in context.site.flows.values() if flow.resets]
+    assert reset == [], (len(reset), reset[0])
+
+
+@given("silence sees TCP flows with a packet every {every:d} s")
+def step_quiet(context, every):
+    context.quiet = context.site.open(30, over_s=2, every_s=every, service=FEEDS)
+    context.site.net.run(5)
+
+
+@given("silence sees UDP flows one way to the target")
+def step_one_way(context):
+    context.quiet = context.site.open(30, over_s=1, every_s=1.0, service=TILLS)
+    for flow in context.quiet:
+        flow.silent = True
+    # Others of the same targets are answered all the time.
+    context.site.open(30, over_s=1, every_s=1.0, service=TILLS)
+
+
+@given("silence sees TCP flows that only the target sends on")
+def step_target_sends(context):
+    site = context.site
+    context.quiet = site.open(30, over_s=1, every_s=1e9, service=FEEDS)
+    site.net.run(5)
+
+    def send_back(flow):
+        site.net.spray(answer(flow.packet()))
+        site.net.at(2.0, send_back, flow)
+
+    for flow in context.quiet:
+        send_back(flow)
+
+
+@when("silence watches for {seconds:d} s, {meanwhile}")
+def step_watch(context, seconds, meanwhile):
+    net = context.site.net
+    for _ in range(seconds // 20):
+        if "entries fail" in meanwhile:
+            victim = net.rng.choice(net.ready_names())
+            net.kill(victim)
+            net.at(3, net.start, victim)
+        net.run(20)
+
+
+@then("the quiet flows of the silence stay with their targets")
+def step_stay(context):
+    for flow in context.quiet:
+        assert len(flow.hosts) == 1, flow
