--- a/kumquatshift/engine/objects.py
+++ b/kumquatshift/engine/objects.py
@@ -59,9 +59,11 @@
 
     ``idle_timeout_s`` ends a flow without packets, ``silence_timeout_s`` a
     flow whose packets are no longer answered, and ``request_timeout_s`` is the
-    longest time for which a request may live. ``retry_share`` bounds retries
-    as a share of first tries; ``reserved_share`` is the part of each target's
-    slots kept for this profile.
+    longest time for which a request may live. ``repeat_span_s`` is the longest
+    time after its first packet for which a caller may repeat a request that was
+    not answered; the default is that of RFC 7252, section 4.8.2. ``retry_share``
+    bounds retries as a share of first tries; ``reserved_share`` is the part of
+    each target's slots kept for this profile.
     """
 
     name: str
@@ -70,6 +72,7 @@
     idle_timeout_s: float = 600.0
     silence_timeout_s: float = 30.0
     request_timeout_s: float = 10.0
+    repeat_span_s: float = 45.0
     retry_share: float = 0.1
     reserved_share: float = 0.0
 
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -6,7 +6,7 @@
 
 The holders of a flow's requests are worked out over all entries that may be
 running, also those out of reach. Only a seasoned one, which has run longer than
-a request may live, knows that a request is new; the first seasoned one in reach
+callers repeat a request, knows that a request is new; the first seasoned one in reach
 is the primary. A request that may not run twice is passed on only while two of
 the three holders are seasoned and in reach. Any two pairs of three share one,
 so two sides never both run it. The others hold what they are told meanwhile.
@@ -190,16 +190,18 @@
         """Tell whether two of the flow's three holders are of one mind."""
         node = self._node
         view = self._view(flow)
-        if view is None or not self.is_seasoned(view, node.clock.seconds()):
+        if view is None:
             return False
+        seasoned = self.is_seasoned(view, node.clock.seconds())
         if not node.members.members:
-            return True
+            return seasoned
         holders = node.members.known.holders(_bucket(flow))
         inside = node.name in (holder.name for holder in holders)
-        return inside and 2 * (1 + len(self._seasoned(flow))) > len(holders)
+        witnesses = len(self._seasoned(flow)) + (inside and seasoned)
+        return 2 * witnesses > len(holders)
 
     def is_seasoned(self, view: ServiceView, now: float) -> bool:
-        """Tell whether we have run longer than a service's requests may live."""
+        """Tell whether we have run longer than a service's callers repeat requests."""
         since = max(self._started_at, self._node.resumed_at)
         return now - since >= _season_s(view)
 
@@ -292,7 +294,7 @@
 
 
 def _season_s(view):
-    return view.profile.request_timeout_s + SEASON_EXTRA_S
+    return view.profile.repeat_span_s + SEASON_EXTRA_S
 
 
 def _address(flow):
