--- a/kumquatshift/codec.py
+++ b/kumquatshift/codec.py
@@ -71,6 +71,7 @@
         "idle_timeout_s": TIMEOUT,
         "silence_timeout_s": TIMEOUT,
         "request_timeout_s": TIMEOUT,
+        "repeat_span_s": TIMEOUT,
         "retry_share": SHARE,
         "reserved_share": SHARE,
     },
