--- a/kumquatshift/engine/requests.py
+++ b/kumquatshift/engine/requests.py
@@ -287,7 +287,12 @@
         return retried + freed
 
     def _take(self, exchange, now):
-        """Hold an exchange that another entry decided."""
+        """Hold an exchange that another entry decided.
+
+        Whether the caller has had an ACK already is not known here; a separate
+        answer reaches it in both cases.
+        """
+        exchange.acknowledged = True
         if exchange.is_watch and exchange.phase is Phase.SENT:
             exchange.phase = Phase.WATCHED
         self.exchanges.add(exchange)
