--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -15,6 +15,7 @@
 SETTLE_S = 15.0
 MAX_SETTLE_S = 60.0
 RECORD_WIRE_BYTES = 24
+BATCH_WIRE_BYTES = 96
 
 
 @dataclass(frozen=True)
--- a/kumquatshift/engine/sweep.py
+++ b/kumquatshift/engine/sweep.py
@@ -12,7 +12,7 @@
 from .actions import Action, SendPeer
 from .flows import STALE_S
 from .messages import EntryState, RecordBatch
-from .node import RECORD_WIRE_BYTES, Node
+from .node import BATCH_WIRE_BYTES, RECORD_WIRE_BYTES, Node
 from .router import COPIED_IDLE_FACTOR
 
 FLOWS_PER_STEP = 4000
@@ -111,7 +111,10 @@
         for holder in holders:
             if holder.name == self._node.name or holder in known:
                 continue
-            copies[holder.name, flow.record.service].append(flow.record)
+            batch = copies[holder.name, flow.record.service]
+            if not batch:
+                self._budget_bytes -= BATCH_WIRE_BYTES
+            batch.append(flow.record)
             self._budget_bytes -= RECORD_WIRE_BYTES
 
     def _may_be_lost(self, flow):
--- /dev/null
+++ b/tests/features/steps/control_steps.py
@@ -0,0 +1,67 @@
+from collections import Counter
+
+from behave import given, then, when
+
+from kumquatshift.adapters import envelope
+from kumquatshift.engine.messages import Record, RecordBatch
+from tests.support.load import (
+    HELD_FLOWS,
+    NEW_PER_S,
+    ControlLoad,
+    control_bytes_per_s,
+    key_of,
+)
+from tests.support.network import DATAGRAM_BYTES
+from tests.support.site import Site
+
+LIMIT_BYTES_PER_S = 4096
+
+
+@given("control of nine entries that hold 100,000 flows")
+def step_load(context):
+    context.load = ControlLoad(held=HELD_FLOWS)
+
+
+@when("control runs for {seconds:d} s with 1,000 new flows a second")
+def step_run(context, seconds):
+    context.rates = context.load.run(seconds, NEW_PER_S)
+
+
+@when("control runs for {seconds:d} s after one entry is killed")
+def step_kill(context, seconds):
+    context.load.net.kill("e3")
+    context.rates = context.load.run(seconds, NEW_PER_S)
+
+
+@then("control of each entry is at most 4,096 bytes a second")
+def step_bound(context):
+    for name, kinds in sorted(context.rates.items()):
+        print(name, {kind: round(rate) for kind, rate in sorted(kinds.items())})
+    rate = control_bytes_per_s(context.rates)
+    assert rate <= LIMIT_BYTES_PER_S, (rate, context.rates)
+
+
+@then("control after the kill has copied records in the background")
+def step_copied(context):
+    assert any(kinds.get("RecordBatch", 0) > 0 for kinds in context.rates.values())
+
+
+@then("control of 1,000 records a second to two standbys is over 4,096 bytes a second")
+def step_each(context):
+    record = Record(key_of(1), "t1", 7, 1_000_000_000)
+    size = len(envelope.encode("e1", RecordBatch((record,)))) + DATAGRAM_BYTES
+    rate = 2 * size * NEW_PER_S / 9
+    print(f"a record by itself: {size} bytes, {rate:.0f} bytes a second an entry")
+    assert rate > LIMIT_BYTES_PER_S
+
+
+@given("control of {entries:d} entries in each of four domains")
+def step_entries(context, entries):
+    context.site = Site(domains="abcd" * entries)
+
+
+@then("control holds {watches:d} watches in each domain")
+def step_watches(context, watches):
+    net = context.site.net
+    held = Counter(net.domain_of(name) for name in net.watching)
+    assert held == dict.fromkeys("abcd", watches), held
