--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -13,6 +13,11 @@
       | 30    | 2     | and nothing fails       | 3     |
       | 10    | 1     | and another entry fails | 14    |
 
+  Scenario: The naive version leaves a silent flow as it is
+    Given silence limits of 10 s, and 60 TCP flows with a packet every 1 s, naive
+    When silence falls on one flow, others of its target are answered, and nothing fails
+    Then silence ends in no reset within 60 s
+
   Scenario: While nothing of the target answers, no flow is taken for lost
     Given silence limits of 10 s, and 60 TCP flows with a packet every 1 s
     When silence falls on a whole target for 40 s
