--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -11,6 +11,8 @@
 )
 from ..wire import entry_pb2 as pb
 
+MAX_BORN_MS = 2**64 - 1
+
 
 class MalformedEnvelopeError(ValueError):
     """The bytes are authentic but no envelope of this version."""
@@ -18,13 +20,9 @@
 
 def encode(sender: str, message: Message) -> bytes:
     """Return the bytes of a message from the entry ``sender``."""
-    if isinstance(message, Relay):
-        body = pb.Envelope(sender=sender, relay=_relay(message))
-    elif isinstance(message, RecordBatch):
-        body = pb.Envelope(sender=sender, records=encode_batch(message))
-    else:
-        body = pb.Envelope(sender=sender, heartbeat=_heartbeat(message))
-    return body.SerializeToString()
+    field, write = _WRITERS[type(message)]
+    envelope = pb.Envelope(sender=sender, **{field: write(message)})
+    return envelope.SerializeToString()
 
 
 def decode(data: bytes) -> tuple[str, Message]:
@@ -32,14 +30,8 @@
     try:
         envelope = pb.Envelope.FromString(data)
         kind = envelope.WhichOneof("body")
-        if kind == "relay":
-            return envelope.sender, _read_relay(envelope.relay)
-        if kind == "records":
-            return envelope.sender, decode_batch(envelope.records)
-        if kind == "heartbeat":
-            return envelope.sender, _read_heartbeat(envelope)
-    except (ValueError, IndexError, OverflowError) as exc:
-        raise MalformedEnvelopeError(str(exc)) from exc
+        if kind is not None:
+            return envelope.sender, _READERS[kind](envelope)
     except Exception as exc:
         # Protobuf's own error type differs between its implementations.
         raise MalformedEnvelopeError(str(exc)) from exc
@@ -56,7 +48,10 @@
 
 
 def decode_batch(batch: pb.RecordBatch) -> RecordBatch:
-    """Return the records of a batch; raise ValueError if columns differ."""
+    """Return the records of a batch.
+
+    Raises ValueError or IndexError if the columns do not fit each other.
+    """
     records = [record for group in batch.groups for record in _read_group(group)]
     return RecordBatch(tuple(records))
 
@@ -96,6 +91,8 @@
     for key, index, after, epoch, tentative, detail in zip(*columns, strict=True):
         target = group.targets[index]
         born_ms = group.first_born_ms + after
+        if not 0 <= born_ms <= MAX_BORN_MS:
+            raise ValueError("a record's birth is out of range")
         yield Record(key, target, group.service, born_ms, epoch, tentative, detail)
 
 
@@ -120,7 +117,8 @@
     return message
 
 
-def _read_relay(message):
+def _read_relay(envelope):
+    message = envelope.relay
     record = None
     if message.HasField("record"):
         row = message.record
@@ -168,3 +166,20 @@
         beat.address,
         tuple(beat.heard),
     )
+
+
+def _read_records(envelope):
+    return decode_batch(envelope.records)
+
+
+_WRITERS = {
+    Relay: ("relay", _relay),
+    RecordBatch: ("records", encode_batch),
+    Heartbeat: ("heartbeat", _heartbeat),
+}
+
+_READERS = {
+    "relay": _read_relay,
+    "records": _read_records,
+    "heartbeat": _read_heartbeat,
+}
--- a/kumquatshift/engine/slots.py
+++ b/kumquatshift/engine/slots.py
@@ -6,12 +6,11 @@
 from enum import StrEnum
 from statistics import median
 
-from .allowance import Allowance
+from .allowance import LATENCY_GUESS_S, Allowance
 from .objects import Priority, Profile, Target, TargetState
 from .priority import Claim, ClaimQueue
 
 QUEUE_PER_SLOT = 4
-SERVICE_TIME_GUESS_S = 0.1
 SERVICE_TIME_WEIGHT = 1 / 32
 RESERVED_SHARE_MAX = 0.75
 
@@ -71,7 +70,7 @@
 
 @dataclass(slots=True)
 class _ServiceTimes:
-    mean_s: float = SERVICE_TIME_GUESS_S
+    mean_s: float = LATENCY_GUESS_S
 
     def learn(self, latency_s):
         self.mean_s += SERVICE_TIME_WEIGHT * (latency_s - self.mean_s)
@@ -81,7 +80,9 @@
 class SlotPool:
     """Gives out the slots of a set of targets to claims of several services.
 
-    Targets that have the same host share its slots. Times are in seconds. One
+    Targets that have the same host share its slots. Times are in seconds.
+    ``cut_off`` names failure domains out of reach: their targets get nothing
+    new, but for the later blocks of a transfer that one of them holds. One
     pool decides for its targets alone: two pools that hold the same target
     each count only what they gave out themselves.
     """
@@ -90,6 +91,7 @@
     profiles: dict[str, Profile] = field(default_factory=dict)
     hosts: dict[str, Allowance] = field(default_factory=dict)
     queue: ClaimQueue = field(default_factory=ClaimQueue)
+    cut_off: frozenset[str] = frozenset()
     _leases: dict[bytes, _Lease] = field(default_factory=dict)
     _times: dict[str, _ServiceTimes] = field(default_factory=dict)
     _members: dict[str, list[Target]] = field(default_factory=dict)
@@ -179,6 +181,18 @@
         if host in self.hosts:
             self.hosts[host].turn_cold(now)
 
+    def limit_of(self, target: str) -> int:
+        """Return how many requests a target may have in flight; 0 if unknown."""
+        member = self.targets.get(target)
+        return int(self.hosts[member.host].limit) if member else 0
+
+    def learn(self, target: str, limit: int, now: float):
+        """Take over what another entry allows a target, unless in use from here."""
+        member = self.targets.get(target)
+        if member is None or not limit or self.hosts[member.host].used:
+            return
+        self.hosts[member.host].learn(limit, now)
+
     def wait_s(self, service: str, priority: Priority) -> float:
         """Estimate how long a new claim of this priority would wait."""
         slots = self._slots(service)
@@ -222,7 +236,9 @@
         return [
             target
             for target in self._members.get(claim.service, ())
-            if target.state is TargetState.ADMITTED and target.name not in claim.avoid
+            if target.state is TargetState.ADMITTED
+            and target.name not in claim.avoid
+            and target.domain not in self.cut_off
         ]
 
     def _has_room(self, target, service, now):
@@ -289,4 +305,4 @@
 
     def _mean_s(self, service):
         times = self._times.get(service)
-        return times.mean_s if times else SERVICE_TIME_GUESS_S
+        return times.mean_s if times else LATENCY_GUESS_S
--- a/tests/features/allowance.feature
+++ b/tests/features/allowance.feature
@@ -44,6 +44,12 @@
       | 1.0  | 0   | 0    | not chosen |
       | 0.0  | 0   | 1    | not chosen |
 
+  Scenario: A standby that takes over knows which targets are warm
+    Given a request policy
+    When requests went to 2 warm targets and a standby takes over
+    Then the standby allows 2 targets 2 requests at once, and the others 1
+    And the standby sends 4 requests now, and 2 more a moment later
+
   Scenario: Services on one host share its slots
     Given a slot pool of 2 hosts that serve 2 services
     When 9 claims of each service come
@@ -56,6 +62,17 @@
     And 9 claims come
     Then the retired target has only what it had
 
+  Scenario Outline: Targets of a domain that is out of reach get no new work
+    Given a slot pool of 2 warm targets with 2 slots
+    When the domain "<domain>" is out of reach
+    And 9 claims come
+    Then <number> are granted in all
+
+    Examples:
+      | domain | number |
+      | north  | 0      |
+      | south  | 4      |
+
   Scenario Outline: Entries that share targets through their domains' owners
     Then with seed <seed> a cold target is never overloaded
     And with seed <seed> a target that turns cold unseen is overloaded at most twice a turn
