--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -8,15 +8,11 @@
     Record,
     RecordBatch,
     Relay,
-    ReleaseKind,
-    SlotClaim,
-    SlotRelease,
-    SlotVerdict,
-    VerdictKind,
 )
-from ..engine.objects import Priority
 from ..wire import entry_pb2 as pb
 
+MAX_BORN_MS = 2**64 - 1
+
 
 class MalformedEnvelopeError(ValueError):
     """The bytes are authentic but no envelope of this version."""
@@ -52,7 +48,10 @@
 
 
 def decode_batch(batch: pb.RecordBatch) -> RecordBatch:
-    """Return the records of a batch; raise ValueError if columns differ."""
+    """Return the records of a batch.
+
+    Raises ValueError or IndexError if the columns do not fit each other.
+    """
     records = [record for group in batch.groups for record in _read_group(group)]
     return RecordBatch(tuple(records))
 
@@ -92,6 +91,8 @@
     for key, index, after, epoch, tentative, detail in zip(*columns, strict=True):
         target = group.targets[index]
         born_ms = group.first_born_ms + after
+        if not 0 <= born_ms <= MAX_BORN_MS:
+            raise ValueError("a record's birth is out of range")
         yield Record(key, target, group.service, born_ms, epoch, tentative, detail)
 
 
@@ -167,56 +168,6 @@
     )
 
 
-def _claim(claim):
-    return pb.SlotClaim(
-        ticket=claim.ticket,
-        service=claim.service,
-        priority=claim.priority.value,
-        remaining_ms=claim.remaining_ms,
-        pinned=claim.pinned,
-        avoid=claim.avoid,
-    )
-
-
-def _read_claim(envelope):
-    claim = envelope.claim
-    return SlotClaim(
-        claim.ticket,
-        claim.service,
-        Priority(claim.priority),
-        claim.remaining_ms,
-        claim.pinned,
-        tuple(claim.avoid),
-    )
-
-
-def _verdict(verdict):
-    return pb.SlotVerdict(
-        ticket=verdict.ticket,
-        kind=verdict.kind,
-        target=verdict.target,
-        backlog_ms=verdict.backlog_ms,
-    )
-
-
-def _read_verdict(envelope):
-    verdict = envelope.verdict
-    kind = VerdictKind(verdict.kind)
-    return SlotVerdict(verdict.ticket, kind, verdict.target, verdict.backlog_ms)
-
-
-def _release(release):
-    return pb.SlotRelease(
-        ticket=release.ticket, kind=release.kind, max_age_ms=release.max_age_ms
-    )
-
-
-def _read_release(envelope):
-    release = envelope.release
-    kind = ReleaseKind(release.kind)
-    return SlotRelease(release.ticket, kind, release.max_age_ms)
-
-
 def _read_records(envelope):
     return decode_batch(envelope.records)
 
@@ -225,16 +176,10 @@
     Relay: ("relay", _relay),
     RecordBatch: ("records", encode_batch),
     Heartbeat: ("heartbeat", _heartbeat),
-    SlotClaim: ("claim", _claim),
-    SlotVerdict: ("verdict", _verdict),
-    SlotRelease: ("release", _release),
 }
 
 _READERS = {
     "relay": _read_relay,
     "records": _read_records,
     "heartbeat": _read_heartbeat,
-    "claim": _read_claim,
-    "verdict": _read_verdict,
-    "release": _read_release,
 }
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -86,9 +86,7 @@
             return self._router.relay(message, now)
         if isinstance(message, RecordBatch):
             return self._router.records(peer, message, now)
-        if isinstance(message, Heartbeat):
-            return self._heartbeat(message, now)
-        return self._requests.slot_message(peer, message, now)
+        return self._heartbeat(message, now)
 
     def objects(self, objects: Iterable[Versioned]) -> list[Action]:
         """Take configuration objects, from the platform or from a peer."""
@@ -146,6 +144,10 @@
         """For each request service, whether we know which requests are new."""
         return self._requests.seasoned_for(self.node.clock.seconds())
 
+    def latencies(self) -> list[tuple[str, float]]:
+        """Return profile and seconds of each request answered since the last call."""
+        return self._requests.latencies()
+
     def counters(self) -> dict[str, int]:
         """Return what was counted, by cause."""
         return dict(self.node.counters) | self._requests.counts
