--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -95,10 +95,8 @@
         platform = self.site["platform"]
         self.say("start the platform")
         self.start("platform", [standin, "platform"])
-        wait_for(
-            lambda: is_ready(platform["address"], platform["port"]),
-            READY_LIMIT_S,
-            "the platform",
+        self.wait_for(
+            lambda: is_ready(platform["address"], platform["port"]), "the platform"
         )
         self.ctl("apply", str(DIRECTORY / "objects.ini"))
         self.say("start fabric, targets and entries")
@@ -113,20 +111,27 @@
         """Wait until all targets and entries take traffic, and are configured."""
         for name, text in self.site["targets"].items():
             host = text.split()[-1]
-            wait_for(lambda host=host: is_ready(host), READY_LIMIT_S, name)
-        wait_for(
-            lambda: self.ready_entries() == set(self.site["entries"]),
-            READY_LIMIT_S,
-            "all entries to be ready",
-        )
-        wait_for(self.is_configured, READY_LIMIT_S, "all entries to be configured")
-        wait_for(self.is_seasoned, READY_LIMIT_S, "all entries to be seasoned")
+            self.wait_for(lambda host=host: is_ready(host), name)
+        names = set(self.site["entries"])
+        self.wait_for(lambda: self.ready_entries() == names, "all entries to be ready")
+        self.wait_for(self.is_configured, "all entries to be configured")
+        self.wait_for(self.is_seasoned, "all entries to be seasoned")
+
+    def wait_for(self, condition, what):
+        """Wait until ``condition()`` holds; raise if a process ends meanwhile."""
+
+        def holds():
+            if self.died():
+                raise RuntimeError(f"{', '.join(self.died())} ended at the start")
+            return condition()
+
+        wait_for(holds, READY_LIMIT_S, what)
 
     def is_seasoned(self):
         """Tell whether every entry has run long enough to know what is new."""
         hosts = [text.split()[-1] for text in self.site["entries"].values()]
         dumps = [fetch(f"http://{host}:{ADMIN_PORT}/dump") for host in hosts]
-        return all(dump and all(dump["seasoned"].values()) for dump in dumps)
+        return all(dump and all(dump.get("seasoned", {}).values()) for dump in dumps)
 
     def ready_entries(self):
         """Return the names of the entries that the fabric finds ready."""
--- a/kumquatshift/bench/requests.py
+++ b/kumquatshift/bench/requests.py
@@ -9,7 +9,7 @@
 from ..logs import Part, logger_for
 from ..standins.application import big_payload
 from .exchange import Exchange, NoReplyError, ReplyKind
-from .tally import LostRequest
+from .tally import LostRequest, Unserved
 
 log = logger_for(Part.BENCH)
 
@@ -126,7 +126,7 @@
             is_unknown = reply.kind is ReplyKind.UNKNOWN
             name = "unknown" if is_unknown else f"error {reply.code}"
             self.tally.count(name, self.service)
-            self.tally.unserved_s.append(sent_s)
+            self.tally.unserved.append(Unserved(req.ident, sent_s, reply.code))
         return reply
 
     def judge(self, req, payload, sent_s):
--- a/kumquatshift/programs/standin.py
+++ b/kumquatshift/programs/standin.py
@@ -27,6 +27,7 @@
 
     def __init__(self, env: Environment):
         self._env = env
+        self._status = ExitStatus.SUCCESS
 
     def platform(self, settings):
         """Run the platform's object API, until SIGTERM or SIGINT."""
@@ -38,7 +39,7 @@
 
     def target(self, settings):
         """Run one target, until SIGTERM or SIGINT."""
-        return self._run(TargetStandinSettings, settings, target.serve)
+        return self._run(TargetStandinSettings, settings, self._serve_target)
 
     def _run(self, program, path, serve):
         loaded = program.load(path)
@@ -53,7 +54,15 @@
             log.error("It cannot start: {}.", exc)
             return ExitStatus.UNAVAILABLE
         reactor.run()
-        return ExitStatus.SUCCESS
+        return self._status
+
+    def _serve_target(self, cfg, reactor):
+        def fail(failure):
+            log.error("It cannot start: {}.", failure.getErrorMessage())
+            self._status = ExitStatus.UNAVAILABLE
+            reactor.stop()
+
+        target.serve(cfg, reactor).addErrback(fail)
 
 
 def serve_platform(cfg: PlatformStandinSettings, reactor):
