--- /dev/null
+++ b/kumquatshift/measures/packets.py
@@ -0,0 +1,158 @@
+"""Measures of the packet path: packets per second, memory and cost per flow.
+
+Batches of the paths take turns with batches of a bare Twisted UDP relay, so
+that both meet the same load of the machine; figures are medians.
+"""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from statistics import median
+
+import dpkt
+
+from ..adapters.envelope import decode, encode
+from ..engine import packets as offsets
+from ..engine.flows import FlowTable
+from ..engine.messages import Direction, Record, Relay
+from ..engine.ring import bucket_of
+from .measure import Measure, at_least, at_most, reported
+from .packet_lanes import BATCH_PACKETS, Bench, Lane, answer_to, caller_packet
+
+SEED = 14
+FLOWS = 1000
+ROUNDS = 200
+HELD = (1_000, 30_000, 300_000)
+HELD_ROUNDS = 60
+GOAL_HOME = 0.5
+MAX_GROWTH = 1.25
+TRACED_FLOWS = 100_000
+PARSED_PACKETS = 20_000
+
+
+def measure_paths() -> tuple[Measure, ...]:
+    """Time the paths of an entry against a bare relay."""
+    with Bench() as bench:
+        primary = bench.flows_of_primary(FLOWS)
+        others = bench.flows_of_others(FLOWS)
+        bench.hold(primary)
+        lanes = {
+            bench.bare: primary,
+            bench.home: primary,
+            bench.answers: [answer_to(packet) for packet in primary],
+            bench.relayed: others,
+        }
+        packet_s = time_lanes(bench, lanes, ROUNDS)
+    bare, home, answers, relayed = packet_s.values()
+    return (
+        at_least("pps_ratio_home", bare / home, GOAL_HOME),
+        at_least("pps_ratio_home_answers", bare / answers, GOAL_HOME),
+        reported("pps_ratio_relay", bare / relayed),
+        reported("pps_bare_relay", 1 / bare),
+        reported("pps_home", 1 / home),
+    )
+
+
+def measure_growth() -> tuple[Measure, ...]:
+    """Time the home path as the entry holds more flows."""
+    with Bench() as bench:
+        packets = bench.flows_of_primary(max(HELD))
+        packet_s = [_packet_s_at(bench, packets[:held]) for held in HELD]
+    names = ("1k", "30k", "300k")
+    costs = [
+        reported(f"packet_us_at_{name}_flows", 1e6 * each)
+        for name, each in zip(names, packet_s, strict=True)
+    ]
+    growth = max(packet_s) / packet_s[0]
+    return (at_most("packet_cost_growth", growth, MAX_GROWTH), *costs)
+
+
+def measure_memory() -> tuple[Measure, ...]:
+    """Trace what the flow table allocates for 100,000 flows.
+
+    A flow that was opened here shares its target's name with the configuration;
+    one that another entry sent came off the wire by itself.
+    """
+    opened = _traced_bytes(_opened_record) / TRACED_FLOWS
+    copied = _traced_bytes(_copied_record) / TRACED_FLOWS
+    return (
+        reported("bytes_per_flow", opened),
+        reported("bytes_per_copied_flow", copied),
+    )
+
+
+def measure_parsing() -> tuple[Measure, ...]:
+    """Time the fixed-offset reads, and dpkt's reading of the same fields."""
+    packets = [caller_packet(each) for each in range(PARSED_PACKETS)]
+    fixed_s = _time_each(_read_offsets, packets)
+    dpkt_s = _time_each(_read_dpkt, packets)
+    return (
+        reported("parse_us_offsets", 1e6 * fixed_s),
+        reported("parse_us_dpkt", 1e6 * dpkt_s),
+    )
+
+
+def time_lanes(
+    bench: Bench, lanes: dict[Lane, list[bytes]], rounds: int
+) -> dict[Lane, float]:
+    """Return for each lane the median seconds a packet, over rounds in turns."""
+    chance = random.Random(SEED)
+    times: dict[Lane, list[float]] = {lane: [] for lane in lanes}
+    for _ in range(rounds):
+        for lane, packets in lanes.items():
+            batch = chance.choices(packets, k=BATCH_PACKETS)
+            times[lane].append(bench.time_batch(lane, batch) / BATCH_PACKETS)
+    return {lane: median(each) for lane, each in times.items()}
+
+
+def _packet_s_at(bench, packets):
+    bench.hold(packets)
+    return time_lanes(bench, {bench.home: packets}, HELD_ROUNDS)[bench.home]
+
+
+def _traced_bytes(make_record: Callable[[bytes], Record]) -> int:
+    packets = [caller_packet(each) for each in range(TRACED_FLOWS)]
+    table = FlowTable()
+    tracemalloc.start()
+    for packet in packets:
+        record = make_record(offsets.flow_key(packet))
+        table.put(record, bucket_of(record.key), 0.0)
+    held_bytes, _peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held_bytes
+
+
+def _opened_record(key):
+    return Record(key, "t1", 1, 0)
+
+
+def _copied_record(key):
+    relay = Relay(b"", Direction.TO_TARGET, record=_opened_record(key))
+    _sender, message = decode(encode("e1", relay))
+    return message.record
+
+
+def _time_each(read: Callable[[bytes], object], packets: list[bytes]) -> float:
+    started = time.perf_counter()
+    for packet in packets:
+        read(packet)
+    return (time.perf_counter() - started) / len(packets)
+
+
+def _read_offsets(packet):
+    return (
+        offsets.check(packet),
+        offsets.destination(packet),
+        offsets.flow_key(packet),
+        offsets.tcp_flags(packet),
+    )
+
+
+def _read_dpkt(packet):
+    ip = dpkt.ip.IP(packet)
+    segment = ip.data
+    return ip.src, ip.dst, ip.p, segment.sport, segment.dport
+
+
+MEASURES = (measure_paths, measure_growth, measure_memory, measure_parsing)
