--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -63,8 +63,9 @@
         view = by_address.get(destination(data))
         if view is not None:
             return self._from_caller(view, data, now)
-        if source(data) in by_address:
-            return self._take_answer(Relay(data, Direction.TO_CALLER), now)
+        view = by_address.get(source(data))
+        if view is not None:
+            return self._take_answer(view, data, (), now)
         return [node.drop(DropReason.UNKNOWN_SERVICE)]
 
     def relay(self, relay: Relay, now: float) -> list[Action]:
@@ -77,7 +78,8 @@
         if node.resuming:
             return [node.drop(DropReason.RESUMING)]
         if relay.direction is Direction.TO_CALLER:
-            return self._take_answer(relay, now)
+            view = node.store.by_address.get(source(data))
+            return self._take_answer(view, data, relay.visited, now)
         view = node.store.by_address.get(destination(data))
         if view is None:
             return [node.drop(DropReason.UNKNOWN_SERVICE)]
@@ -106,17 +108,17 @@
     def _from_caller(self, view, data, now):
         node = self._node
         key = flow_key(data)
-        bucket = bucket_of(key)
+        flow = node.flows.get(key)
+        bucket = bucket_of(key) if flow is None else flow.bucket
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
         primary = self._primary(view, holders)
         if primary == node.name:
-            return self._decide(view, key, bucket, data, now)
-        flow = node.flows.get(key)
+            return self._decide(view, flow, key, bucket, data, now)
         if flow is not None and not _changes_state(data):
-            target = self._current(flow, view, holders, now)
-            if target is not None:
+            target = node.usable(flow.record, view)
+            if target is not None and self._is_current(flow, view, holders, now):
                 flow.last_seen = now
                 return [self._send(target, data)]
         return [
@@ -128,7 +130,8 @@
         node = self._node
         data = relay.data
         key = flow_key(data)
-        bucket = bucket_of(key)
+        flow = node.flows.get(key)
+        bucket = bucket_of(key) if flow is None else flow.bucket
         holders = node.members.ring.holders(bucket)
         if not holders:
             return [node.drop(DropReason.DOMAIN_OUT)]
@@ -136,18 +139,18 @@
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
-            return self._decide(view, key, bucket, data, now)
+            return self._decide(view, flow, key, bucket, data, now)
         return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
 
-    def _decide(self, view, key, bucket, data, now):
+    def _decide(self, view, flow, key, bucket, data, now):
         """Decide as the flow's primary."""
         node = self._node
         if view.profile.mode is Mode.REQUEST:
             return self._requests.from_caller(view, data, now)
-        flow = node.flows.get(key)
         if flow is None:
             return self._open(view, key, bucket, data, now, epoch=0)
-        if node.usable(flow.record, view) is None:
+        target = node.usable(flow.record, view)
+        if target is None:
             return self._give_up(flow, view, data, now)
         changes = _changes_state(data)
         if flow.closing and changes and tcp_flags(data) & TCP_SYN:
@@ -156,8 +159,7 @@
             return self._end_silent(flow, view, data, now)
         holders = node.members.ring.holders(bucket)
         self._note_unanswered(flow, now)
-        target = None if changes else self._current(flow, view, holders, now)
-        if target is None:
+        if changes or not self._is_current(flow, view, holders, now):
             return self._place(flow, view, data, now)
         flow.last_seen = now
         return [self._send(target, data)]
@@ -236,30 +238,30 @@
         batch = RecordBatch((record,))
         return [SendPeer(name, batch) for name in sorted(names)]
 
-    def _take_answer(self, relay, now):
+    def _take_answer(self, view, data, visited, now):
         """Decide on an answer as its primary, or pass it to the one that is."""
         node = self._node
-        bucket = bucket_of(reverse_key(relay.data))
+        key = reverse_key(data)
+        flow = node.flows.get(key)
+        bucket = bucket_of(key) if flow is None else flow.bucket
         holders = node.members.ring.holders(bucket)
-        view = node.store.by_address.get(source(relay.data))
         if not holders or view is None:
-            return self._answer(view, relay.data, now)
+            return self._answer(view, flow, data, now)
         primary = self._primary(view, holders)
-        visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
-            return self._answer(view, relay.data, now)
-        return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
+            return self._answer(view, flow, data, now)
+        onward = Relay(data, Direction.TO_CALLER, "", (), (*visited, node.name))
+        return [SendPeer(primary, onward)]
 
     def _primary(self, view, holders):
         if view.profile.mode is Mode.REQUEST:
             return self._requests.primary(view)
         return holders[0].name
 
-    def _answer(self, view, data, now):
+    def _answer(self, view, flow, data, now):
         if view is not None and view.profile.mode is Mode.REQUEST:
             return self._requests.from_target(data, now)
-        flow = self._node.flows.get(reverse_key(data))
         if flow is not None:
             flow.last_seen = now
             flow.unanswered = 0
@@ -290,18 +292,14 @@
         flow.placed_at = STALE_S
         return flow
 
-    def _current(self, flow, view, holders, now):
-        """Return the flow's target if the packet can go straight to it."""
+    def _is_current(self, flow, view, holders, now):
+        """Tell whether a packet can go straight to the flow's target."""
         refresh_s = view.profile.idle_timeout_s / REFRESHES_PER_IDLE_TIMEOUT
         if flow.holders != holders or now - flow.placed_at > refresh_s:
-            return None
-        if not flow.proven:
-            return None
-        if flow.last_seen < self._node.resumed_at:
-            return None
-        if flow.record.tentative:
-            return None
-        return self._node.usable(flow.record, view)
+            return False
+        if not flow.proven or flow.record.tentative:
+            return False
+        return flow.last_seen >= self._node.resumed_at
 
     def _confirm(self, flow, now):
         """End a proposal that no better record has met in time.
