--- a/kumquatshift/engine/dump.py
+++ b/kumquatshift/engine/dump.py
@@ -91,7 +91,7 @@
 def _target(node, name, now):
     return TargetCounts(
         flows=node.flows.held.get(name, 0),
-        sent=node.sent[name],
+        sent=node.sent.get(name, 0),
         share=round(node.chooser.share(name, now), 3),
     )
 
--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -1,6 +1,6 @@
 """What the parts of one entry's engine share."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 from .actions import Drop, DropReason
@@ -52,7 +52,7 @@
         self.flows = FlowTable()
         self.chooser = TargetChooser()
         self.counters: Counter[str] = Counter()
-        self.sent: Counter[str] = Counter()
+        self.sent: defaultdict[str, int] = defaultdict(int)
         self.state = EntryState.JOINING
         self.ring_changed_at = clock.seconds()
         self.resumed_at = float("-inf")
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -19,7 +19,6 @@
 from .decisions import Decision, Forward, Pass, Refuse, Return
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
-from .objects import Mode
 from .packets import KEY_BYTES, flow_key, reverse_key
 from .refusals import note_of
 from .requests import RequestPolicy
@@ -60,9 +59,7 @@
         node = self._node
         views = node.store.by_name.values()
         requests = {
-            view.service.name: view.profile
-            for view in views
-            if view.profile.mode is Mode.REQUEST
+            view.service.name: view.profile for view in views if view.takes_requests
         }
         targets = [
             target
@@ -81,7 +78,7 @@
         return {
             name: self.is_seasoned(view, now)
             for name, view in self._node.store.by_name.items()
-            if view.profile.mode is Mode.REQUEST
+            if view.takes_requests
         }
 
     def from_caller(self, view: ServiceView, data: bytes, now: float) -> list[Action]:
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -14,7 +14,6 @@
 from .flows import NEVER_S, STALE_S, Flow, prefer
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
-from .objects import Mode
 from .packets import (
     PROTOCOL_TCP,
     TCP_FIN,
@@ -83,7 +82,7 @@
         view = node.store.by_address.get(destination(data))
         if view is None:
             return [node.drop(DropReason.UNKNOWN_SERVICE)]
-        if relay.record is not None and view.profile.mode is Mode.REQUEST:
+        if relay.record is not None and view.takes_requests:
             return self._requests.hold(relay, view, now)
         if relay.record is not None:
             return self._pass_on(relay, view, now)
@@ -145,7 +144,7 @@
     def _decide(self, view, flow, key, bucket, data, now):
         """Decide as the flow's primary."""
         node = self._node
-        if view.profile.mode is Mode.REQUEST:
+        if view.takes_requests:
             return self._requests.from_caller(view, data, now)
         if flow is None:
             return self._open(view, key, bucket, data, now, epoch=0)
@@ -255,12 +254,12 @@
         return [SendPeer(primary, onward)]
 
     def _primary(self, view, holders):
-        if view.profile.mode is Mode.REQUEST:
+        if view.takes_requests:
             return self._requests.primary(view)
         return holders[0].name
 
     def _answer(self, view, flow, data, now):
-        if view is not None and view.profile.mode is Mode.REQUEST:
+        if view is not None and view.takes_requests:
             return self._requests.from_target(data, now)
         if flow is not None:
             flow.last_seen = now
--- a/kumquatshift/engine/store.py
+++ b/kumquatshift/engine/store.py
@@ -16,6 +16,7 @@
     Domain,
     DomainState,
     Kind,
+    Mode,
     Profile,
     Protocol,
     Service,
@@ -37,6 +38,10 @@
     created: int
     profile: Profile
     targets: dict[str, Target] = field(default_factory=dict)
+    takes_requests: bool = field(init=False)
+
+    def __post_init__(self):
+        self.takes_requests = self.profile.mode is Mode.REQUEST
 
 
 class ConfigStore:
@@ -45,6 +50,7 @@
     def __init__(self):
         self.digest = 0
         self.domains: dict[str, Domain] = {}
+        self._domains_out: frozenset[str] = frozenset()
         self.targets: dict[str, Target] = {}
         self.by_address: dict[bytes, ServiceView] = {}
         self.by_name: dict[str, ServiceView] = {}
@@ -84,8 +90,7 @@
 
     def domain_in(self, name: str) -> bool:
         """Tell whether a failure domain is in service; unknown ones are."""
-        domain = self.domains.get(name)
-        return domain is None or domain.state is DomainState.IN
+        return name not in self._domains_out
 
     def _put(self, obj):
         key = (obj.kind, obj.name)
@@ -110,6 +115,11 @@
         for obj in live:
             bodies[obj.kind][obj.name] = obj
         self.domains = {n: o.body for n, o in bodies[Kind.DOMAIN].items()}
+        self._domains_out = frozenset(
+            name
+            for name, domain in self.domains.items()
+            if domain.state is DomainState.OUT
+        )
         self.targets = {n: o.body for n, o in bodies[Kind.TARGET].items()}
         self.by_name = {
             name: _service_view(obj, bodies[Kind.PROFILE])
