--- a/kumquatshift/engine/members.py
+++ b/kumquatshift/engine/members.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "address",
+        "back_since",
         "digest",
         "domain",
         "hears_us",
@@ -57,6 +58,7 @@
         self.state = EntryState.JOINING
         self.first_heard = float("inf")
         self.last_heard = float("-inf")
+        self.back_since = float("-inf")
         self.hears_us = False
         self.digest = 0
         self.listed = True
@@ -104,6 +106,8 @@
             member = Member(Vm(beat.name, beat.domain, beat.address))
             member.listed = False
             self.members[beat.name] = member
+        if not self.recent(member, now) or member.incarnation != beat.incarnation:
+            member.back_since = now
         self._latest[beat.name] = (beat.incarnation, beat.sequence)
         if member.incarnation != beat.incarnation:
             member.first_heard = now
@@ -126,8 +130,18 @@
         return now - member.last_heard <= self.timers.suspect_s
 
     def unheard(self, now: float) -> bool:
-        """Tell whether others are there, of whom none hears us."""
-        there = [m for m in self.members.values() if self.recent(m, now)]
+        """Tell whether others are there, of whom none hears us.
+
+        One that has just come back, or that joins, has had no time to hear us.
+        """
+        grace_s = 2 * self.timers.heartbeat_s
+        there = [
+            member
+            for member in self.members.values()
+            if self.recent(member, now)
+            and member.state is EntryState.LIVE
+            and now - member.back_since > grace_s
+        ]
         return bool(there) and not any(member.hears_us for member in there)
 
     def last_heard(self, domain: str) -> float:
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -21,6 +21,17 @@
       | an empty list                                                |
       | lists that differ at every entry                             |
 
+  Scenario Outline: The last entry left goes on serving while others come back
+    Given membership of nine entries with 200 flows
+    When membership loses all but e5, and then <others>
+    Then membership has e5 take packets throughout
+
+    Examples:
+      | others                            |
+      | one is started again              |
+      | all are started again             |
+      | they are cut off and healed again |
+
   Scenario: An entry that hears no other breaks no flow
     Given membership of nine entries with 400 flows
     When membership meets an entry that does not hear others, for 10 s
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -209,3 +209,31 @@
     domains = context.net.engines["e5"].node.store.domains
     assert domains["a"].state is DomainState.OUT
     assert context.sent == []
+
+
+@when("membership loses all but e5, and then {others}")
+def step_loses(context, others):
+    net = context.net
+    lost = sorted(ALL - {"e5"})
+    if others.startswith("they are cut off"):
+        net.cut(lost, {"e5"})
+        net.cut({"e5"}, lost)
+        net.run(20)
+        net.heal()
+    else:
+        for name in lost:
+            net.kill(name)
+        net.run(20)
+        for name in lost[:1] if others.startswith("one") else lost:
+            net.start(name)
+    context.not_ready = []
+
+
+@then("membership has e5 take packets throughout")
+def step_throughout(context):
+    net = context.net
+    for _ in range(200):
+        net.run(0.05)
+        if not net.engines["e5"].ready:
+            context.not_ready.append(net.now)
+    assert context.not_ready == [], (len(context.not_ready), context.not_ready[0])
