--- a/kumquatshift/engine/allowance.py
+++ b/kumquatshift/engine/allowance.py
@@ -11,15 +11,20 @@
 COLD_LIMIT = 1.0
 GROWTH_ANSWERS = 8
 WARM_UP_S = 10.0
-LATENCY_JUMP = 3.0
 LATENCY_LIKE_PEERS = 2.0
+
+#: A warm target has turned cold when so many of its latest answers took more
+#: than `LATENCY_JUMP` times as long as usual. Single slow answers are common
+#: where requests differ.
+LATENCY_JUMP = 3.0
+JUMP_WINDOW = 8
+JUMP_SLOW = 6
 FAST_WEIGHT = 1 / 4
 SLOW_WEIGHT = 1 / 64
 PAUSE_MIN_S = 0.5
 PAUSE_MAX_S = 8.0
 HINT_MAX_AGE_S = 3.0
 WORK_HALF_LIFE_S = 30.0
-SAMPLES_FOR_JUMP = 8
 FAILURES_FOR_PAUSE = 5
 LATENCY_GUESS_S = 0.1
 
@@ -38,14 +43,17 @@
     in_flight: dict[str, int] = field(default_factory=dict)
     good_in_row: int = 0
     failed_in_row: int = 0
+    limit_before_doubt: float = 0.0
     latency_s: float = 0.0
     baseline_s: float = 0.0
     samples: int = 0
+    slow: tuple[bool, ...] = ()
     paused_until: float = 0.0
     pause_s: float = PAUSE_MIN_S
     work_s: float = 0.0
     worked_at: float = 0.0
     foreign: list[float] = field(default_factory=list)
+    heard_at: float = 0.0
     hint: float = 0.0
     hinted_at: float = -HINT_MAX_AGE_S
 
@@ -99,6 +107,8 @@
         self._end(service, latency_s, now)
         self.pause_s = PAUSE_MIN_S
         self.failed_in_row = 0
+        if self.limit_before_doubt:
+            self._end_doubt(latency_s)
         self._learn(latency_s)
         if self._has_jumped():
             self.turn_cold(now)
@@ -136,6 +146,17 @@
         self.turn_cold(now)
         self._pause(self.pause_s, now)
 
+    def doubt(self, service: str, now: float):
+        """Note a lost answer that may not be the target's fault.
+
+        It is given one request at a time until the next answer: one in the
+        usual time shows that the target is as it was.
+        """
+        self._end(service, 0.0, now)
+        if not self.limit_before_doubt:
+            self.limit_before_doubt = self.limit
+        self.limit = COLD_LIMIT
+
     def cancelled(self, service: str, now: float):
         """Note that a request ended without telling anything of the target."""
         self._end(service, 0.0, now)
@@ -149,9 +170,11 @@
 
     def turn_cold(self, now: float):
         """Start again from one request at a time."""
+        self.limit_before_doubt = 0.0
         self.limit = COLD_LIMIT
         self.good_in_row = 0
         self.samples = 0
+        self.slow = ()
         self.latency_s = 0.0
         self.since = now
 
@@ -175,7 +198,14 @@
         self.work_s = self.work(now) * self.limit + latency_s
         self.worked_at = now
 
+    def _end_doubt(self, latency_s):
+        if latency_s <= LATENCY_LIKE_PEERS * self.baseline_s:
+            self.limit = max(self.limit, self.limit_before_doubt)
+        self.limit_before_doubt = 0.0
+
     def _learn(self, latency_s):
+        is_slow = latency_s > LATENCY_JUMP * (self.baseline_s or latency_s)
+        self.slow = (*self.slow[1 - JUMP_WINDOW :], is_slow)
         self.samples += 1
         weight = max(FAST_WEIGHT, 1 / self.samples)
         self.latency_s += weight * (latency_s - self.latency_s)
@@ -186,9 +216,7 @@
             self.baseline_s = min(self.baseline_s, self.latency_s)
 
     def _has_jumped(self):
-        if not self.is_warm or self.samples < SAMPLES_FOR_JUMP:
-            return False
-        return self.latency_s > LATENCY_JUMP * self.baseline_s
+        return self.is_warm and sum(self.slow) >= JUMP_SLOW
 
     def _seems_warm(self, peers_s, now):
         if peers_s:
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -19,7 +19,6 @@
 from .decisions import Decision, Forward, Pass, Refuse, Return
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
-from .objects import Mode
 from .packets import KEY_BYTES, flow_key, reverse_key
 from .refusals import note_of
 from .requests import RequestPolicy
@@ -71,9 +70,7 @@
         node = self._node
         views = node.store.by_name.values()
         requests = {
-            view.service.name: view.profile
-            for view in views
-            if view.profile.mode is Mode.REQUEST
+            view.service.name: view.profile for view in views if view.takes_requests
         }
         targets = [
             target
@@ -92,7 +89,7 @@
         return {
             name: self.is_seasoned(view, now)
             for name, view in self._node.store.by_name.items()
-            if view.profile.mode is Mode.REQUEST
+            if view.takes_requests
         }
 
     def from_caller(self, view: ServiceView, data: bytes, now: float) -> list[Action]:
@@ -124,6 +121,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Decide what time alone decides; to be called every 50 ms or so."""
+        self._pool.cut_off = self._cut_off()
         return self._carry_out(self._policy.tick(now)) + self._copies()
 
     def ring_changed(self) -> None:
@@ -231,6 +229,12 @@
             return self.is_seasoned(view, now)
         return now - node.members.members[name].first_heard >= _season_s(view)
 
+    def _cut_off(self):
+        """Return the failure domains with targets that we do not reach."""
+        node = self._node
+        domains = {target.domain for target in self._pool.targets.values()}
+        return frozenset(name for name in domains if not node.reaches(name))
+
     def _view(self, flow):
         return self._node.store.by_address.get(_address(flow))
 
