--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -24,7 +24,7 @@
 FIGURES = DIRECTORY / "bench.json"
 BINARIES = Path(sys.executable).parent
 ADMIN_PORT = 7300
-READY_LIMIT_S = 20.0
+READY_LIMIT_S = 30.0
 COMMAND_LIMIT_S = 15.0
 BENCH_LIMIT_S = 55.0
 WHOLE_LIMIT_S = 60.0
@@ -168,7 +168,7 @@
         return [
             (4, lambda: self.ctl("target", "retire", RETIRED_TARGET)),
             (3, lambda: self.ctl("domain", "out", DOMAIN_OUT, WAIT)),
-            (10, lambda: self.ctl("domain", "in", DOMAIN_OUT, WAIT)),
+            (9, lambda: self.ctl("domain", "in", DOMAIN_OUT, WAIT)),
             (2, lambda: self.kill(KILLED_ENTRY)),
             (DOWN_TIME_S, lambda: self.restart(KILLED_ENTRY)),
         ]
--- a/kumquatshift/bench/report.py
+++ b/kumquatshift/bench/report.py
@@ -92,6 +92,7 @@
     given_up: int
     unknown: int
     errors: dict[str, int]
+    errors_otherwise: int
     wrong: int
     lost: int
     lost_in_domain_out: int
@@ -119,6 +120,7 @@
         )
         seen = {
             "wrong answers": self.wrong,
+            "requests answered by an error, no domain moving": self.errors_otherwise,
             "requests of surviving domains lost": self.lost - self.lost_in_domain_out,
             "watches of surviving domains broken": surviving,
             "non-idempotent requests run more than once": self.duplicates_run,
@@ -194,6 +196,10 @@
         given_up=tally.total("given-up"),
         unknown=tally.total("unknown"),
         errors=with_prefix(tally.counts, "error "),
+        errors_otherwise=sum(
+            not req.is_unknown and not is_around_move(req.sent_s, view)
+            for req in tally.unserved
+        ),
         wrong=len(tally.wrong),
         lost=len(tally.lost),
         lost_in_domain_out=len(tally.lost) - len(lost),
--- a/kumquatshift/bench/requests.py
+++ b/kumquatshift/bench/requests.py
@@ -126,7 +126,8 @@
             is_unknown = reply.kind is ReplyKind.UNKNOWN
             name = "unknown" if is_unknown else f"error {reply.code}"
             self.tally.count(name, self.service)
-            self.tally.unserved.append(Unserved(req.ident, sent_s, reply.code))
+            unserved = Unserved(req.ident, sent_s, reply.code, is_unknown)
+            self.tally.unserved.append(unserved)
         return reply
 
     def judge(self, req, payload, sent_s):
--- a/kumquatshift/bench/tally.py
+++ b/kumquatshift/bench/tally.py
@@ -53,11 +53,15 @@
 
 @dataclass(frozen=True)
 class Unserved:
-    """A request whose reply was neither an answer nor a refusal."""
+    """A request whose reply was neither an answer nor a refusal.
+
+    Whether it ran is unknown; or else the reply is an error.
+    """
 
     ident: str
     sent_s: float
     code: str
+    is_unknown: bool
 
 
 @dataclass(frozen=True)
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -64,6 +64,9 @@
       | a retired target ran a request after 2 s            | none |
       | a retired target ran a request after 4 s            | 1 requests run at a target that was retired |
       | a retired target kept a connection busy after 4 s   | none |
+      | an error came for a request sent at 100 s           | none |
+      | an error came for a request sent at 90 s            | 1 requests answered by an error, no domain moving |
+      | an unknown outcome came for a request sent at 90 s  | none |
       | a target's dump could not be read                   | 1 targets whose dump could not be read |
       | no request was answered                             | no request was answered |
 
--- a/tests/features/steps/bench_steps.py
+++ b/tests/features/steps/bench_steps.py
@@ -8,7 +8,7 @@
 from kumquatshift.bench.requests import Path, Request, RequestCaller
 from kumquatshift.bench.run import Bench
 from kumquatshift.bench.site import SiteView
-from kumquatshift.bench.tally import BrokenWatch, LostRequest, Tally
+from kumquatshift.bench.tally import BrokenWatch, LostRequest, Tally, Unserved
 from kumquatshift.settings import BenchSettings
 from kumquatshift.standins import platform
 from kumquatshift.standins.application import big_payload
@@ -193,6 +193,11 @@
     context.dumps[target]["run_times_s"].append(50 + delay_s)
 
 
+def fail(context, second, is_unknown):
+    unserved = Unserved("5-r-1", second, "4.08", is_unknown)
+    context.tally.unserved.append(unserved)
+
+
 HAPPENINGS = {
     "nothing else happened": lambda c: None,
     "a wrong answer came": lambda c: c.tally.wrong.append("5-r-1"),
@@ -217,6 +222,9 @@
     "a retired target ran a request after 2 s": lambda c: retire(c, "t1", 2),
     "a retired target ran a request after 4 s": lambda c: retire(c, "t1", 4),
     "a retired target kept a connection busy after 4 s": lambda c: retire(c, "w1", 4),
+    "an error came for a request sent at 100 s": lambda c: fail(c, 100, False),
+    "an error came for a request sent at 90 s": lambda c: fail(c, 90, False),
+    "an unknown outcome came for a request sent at 90 s": lambda c: fail(c, 90, True),
     "a target's dump could not be read": lambda c: c.dumps.pop("t1"),
     "no request was answered": lambda c: c.tally.counts.clear(),
 }
