--- a/kumquatshift/bench/watches.py
+++ b/kumquatshift/bench/watches.py
@@ -27,6 +27,12 @@
         self.clock = clock
         self.target = ""
         self.stopped = False
+        self.is_open = False
+        self.heard_s = 0.0
+
+    def is_settled(self, since_s):
+        """Tell whether the watch was heard since then, or is not open."""
+        return not self.is_open or self.heard_s >= since_s
 
     def stop(self):
         """Let the watch go; what happens to it later is not counted."""
@@ -67,7 +73,8 @@
 
     async def follow(self, first, notifications):
         """Read notifications until one is missing or wrong."""
-        opened_s = heard_s = self.clock.seconds()
+        opened_s = self.heard_s = self.clock.seconds()
+        self.is_open = True
         note = first
         while True:
             if not note.code.is_successful():
@@ -76,7 +83,7 @@
             if not self.accept(note):
                 cause = "wrong"
                 break
-            heard_s = self.clock.seconds()
+            self.heard_s = self.clock.seconds()
             try:
                 note = await asyncio.wait_for(anext(notifications), self.load.silence_s)
             except TimeoutError:
@@ -88,7 +95,8 @@
             except (aiocoap.error.Error, OSError) as exc:
                 cause = type(exc).__name__
                 break
-        self.break_off(opened_s, heard_s, cause)
+        self.is_open = False
+        self.break_off(opened_s, cause)
 
     def accept(self, note):
         """Tell whether a notification comes from the watch's own target."""
@@ -102,12 +110,12 @@
         self.tally.count("notifications", self.service)
         return self.target == body.get("target")
 
-    def break_off(self, opened_s, heard_s, cause):
+    def break_off(self, opened_s, cause):
         """Count a broken watch, unless it was let go."""
         if self.stopped:
             return
         now_s = self.clock.seconds()
         log.info("Watch {} on {} broke: {}.", self.name, self.target, cause)
         self.tally.broken.append(
-            BrokenWatch(self.service, self.target, opened_s, heard_s, now_s, cause)
+            BrokenWatch(self.service, self.target, opened_s, self.heard_s, now_s, cause)
         )
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -103,3 +103,9 @@
     And a platform with the site's objects
     When the load tool runs for 3 seconds
     Then it sent requests to both services, all were answered, and watches stayed
+
+  Scenario: A watch that falls silent just before the end is noticed
+    Given a small site with 2 entries
+    And a platform with the site's objects
+    When all entries die 0.5 seconds before the end of a load of 2 seconds
+    Then it reports 2 watches as silent
