--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -1,6 +1,6 @@
 """What the parts of one entry's engine share."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 from .actions import Drop, DropReason
@@ -15,6 +15,7 @@
 SETTLE_S = 15.0
 MAX_SETTLE_S = 60.0
 RECORD_WIRE_BYTES = 24
+BATCH_WIRE_BYTES = 96
 
 
 @dataclass(frozen=True)
@@ -52,7 +53,7 @@
         self.flows = FlowTable()
         self.chooser = TargetChooser()
         self.counters: Counter[str] = Counter()
-        self.sent: Counter[str] = Counter()
+        self.sent: defaultdict[str, int] = defaultdict(int)
         self.state = EntryState.JOINING
         self.ring_changed_at = clock.seconds()
         self.resumed_at = float("-inf")
