--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -114,7 +114,7 @@
             return [node.drop(DropReason.DOMAIN_OUT)]
         primary = self._primary(view, holders)
         if primary == node.name:
-            return self._decide(view, flow, key, bucket, data, now)
+            return self._decide(view, flow, key, holders, data, now)
         if flow is not None and not _changes_state(data):
             target = node.usable(flow.record, view)
             if target is not None and self._is_current(flow, view, holders, now):
@@ -138,34 +138,33 @@
         visited = relay.visited
         looped = primary in visited or len(visited) >= MAX_REDIRECTS
         if primary == node.name or looped:
-            return self._decide(view, flow, key, bucket, data, now)
+            return self._decide(view, flow, key, holders, data, now)
         return [SendPeer(primary, replace(relay, visited=(*visited, node.name)))]
 
-    def _decide(self, view, flow, key, bucket, data, now):
+    def _decide(self, view, flow, key, holders, data, now):
         """Decide as the flow's primary."""
         node = self._node
         if view.takes_requests:
             return self._requests.from_caller(view, data, now)
         if flow is None:
-            return self._open(view, key, bucket, data, now, epoch=0)
+            return self._open(view, key, data, now, epoch=0)
         target = node.usable(flow.record, view)
         if target is None:
             return self._give_up(flow, view, data, now)
         changes = _changes_state(data)
         if flow.closing and changes and tcp_flags(data) & TCP_SYN:
-            return self._open(view, key, bucket, data, now, flow.record.epoch + 1)
-        if self._opened_towards_cut(flow, view):
-            return self._open(view, key, bucket, data, now, flow.record.epoch + 1)
+            return self._open(view, key, data, now, flow.record.epoch + 1)
+        if not flow.answered and self._opened_towards_cut(flow, target, view):
+            return self._open(view, key, data, now, flow.record.epoch + 1)
         if self._is_silent(flow, view, now):
             return self._end_silent(flow, view, data, now)
-        holders = node.members.ring.holders(bucket)
         self._note_unanswered(flow, now)
         if changes or not self._is_current(flow, view, holders, now):
             return self._place(flow, view, data, now)
         flow.last_seen = now
         return [self._send(target, data)]
 
-    def _open(self, view, key, bucket, data, now, epoch, avoid=""):
+    def _open(self, view, key, data, now, epoch, avoid=""):
         """Choose a target for a new flow and place its record."""
         node = self._node
         usable = [t for t in node.choices(view) if t.name != avoid]
@@ -177,7 +176,7 @@
         born_ms = int(now * 1000)
         tentative = not node.settled(now)
         record = Record(key, target.name, view.created, born_ms, epoch, tentative)
-        flow = node.flows.put(record, bucket, now)
+        flow = node.flows.put(record, bucket_of(key), now)
         flow.tentative_until = now + TENTATIVE_S
         flow.opened_here = True
         node.counters["opened"] += 1
@@ -359,21 +358,20 @@
         opening = data[9] != PROTOCOL_TCP or tcp_flags(data) & TCP_SYN
         if same_service and not opening:
             return self._refuse(data, DropReason.GIVEN_UP)
-        bucket = flow.bucket
         node.flows.remove(flow.record.key)
-        return self._open(view, flow.record.key, bucket, data, now, epoch)
+        return self._open(view, flow.record.key, data, now, epoch)
 
-    def _opened_towards_cut(self, flow, view):
+    def _opened_towards_cut(self, flow, target, view):
         """Tell whether a flow was opened towards a domain just cut off.
 
         A cut is noticed late; what was opened in the meantime has reached no
         target, and may be opened again at one that can be reached.
         """
         node = self._node
-        domain = node.usable(flow.record, view).domain
-        if flow.answered or node.reaches(domain):
+        domain = target.domain
+        if node.reaches(domain):
             return False
-        if not any(node.reaches(target.domain) for target in node.choices(view)):
+        if not any(node.reaches(other.domain) for other in node.choices(view)):
             return False
         born = flow.record.born_ms / 1000
         heartbeat_s = node.timers.heartbeat_s
@@ -412,7 +410,7 @@
         node.counters[DropReason.SILENT.value] += 1
         if data[9] != PROTOCOL_TCP:
             key, lost = flow.record.key, target.name
-            return self._open(view, key, flow.bucket, data, now, epoch, avoid=lost)
+            return self._open(view, key, data, now, epoch, avoid=lost)
         flow.closing = True
         flow.unanswered = 0
         actions = []
