--- /dev/null
+++ b/extras/capacity.py
@@ -0,0 +1,367 @@
+"""Measure the slopes that docs/CAPACITY.md is worked out from.
+
+All runs are in-core: real engines, the real codec and digest, no sockets. Each
+table has one row a size; times are medians on the machine that runs it::
+
+    python extras/capacity.py            # all tables
+    python extras/capacity.py beats      # one of them
+"""
+
+import random
+import resource
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from statistics import median
+
+from tabulate import tabulate
+from twisted.internet.task import Clock
+
+from kumquatshift.adapters.envelope import decode, encode
+from kumquatshift.codec import object_to_json
+from kumquatshift.engine.actions import SendPeer
+from kumquatshift.engine.entry import EntryConfig, EntryEngine
+from kumquatshift.engine.members import Vm
+from kumquatshift.engine.messages import (
+    EntryState,
+    Heartbeat,
+    Record,
+    RecordBatch,
+    Relay,
+)
+from kumquatshift.engine.objects import (
+    Domain,
+    Kind,
+    Profile,
+    Protocol,
+    Service,
+    Target,
+    Versioned,
+)
+from kumquatshift.engine.packets import flow_key
+from kumquatshift.engine.ring import bucket_of
+from kumquatshift.engine.store import ConfigStore
+from kumquatshift.keys import DIGEST_BYTES, Sealer
+from kumquatshift.measures.packet_lanes import udp_packet
+
+SEALER = Sealer(b"capacity, a key of 32 bytes.....")
+DOMAINS = 15
+TARGETS_PER_SERVICE = 5
+EPOCH_S = 1_000_000.0
+ROUNDS = 7
+
+MEMBERS = (9, 18, 36, 72, 144)
+OBJECTS = (100, 1_000, 10_000, 70_000)
+FLOWS = (1_000, 10_000, 100_000)
+OPENINGS = (1_000, 3_000, 10_000)
+
+
+def domain_name(number: int) -> str:
+    """Return the name of a domain."""
+    return f"domain-{number % DOMAINS:02d}"
+
+
+def entries(number: int) -> tuple[Vm, ...]:
+    """Return entries that are spread over the domains."""
+    return tuple(
+        Vm(f"entry-{each:05d}", domain_name(each), f"10.0.{each >> 8}.{each & 255}")
+        for each in range(number)
+    )
+
+
+def target(number: int, services: int) -> Target:
+    """Return a target of one of so many services."""
+    host = f"11.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    service = f"service-{number % services:05d}"
+    return Target(f"host-{number:05d}", service, domain_name(number), host, 6080)
+
+
+def objects(number: int) -> list[Versioned]:
+    """Return about so many objects: five targets to a service, 15 domains."""
+    services = max(1, number // (TARGETS_PER_SERVICE + 1))
+    bodies = [(Kind.PROFILE, Profile("long-session"))]
+    bodies += [(Kind.DOMAIN, Domain(domain_name(each))) for each in range(DOMAINS)]
+    for each in range(services):
+        address = f"12.{each >> 16}.{each >> 8 & 255}.{each & 255}"
+        name = f"service-{each:05d}"
+        body = Service(name, address, 443, Protocol.UDP, "long-session")
+        bodies.append((Kind.SERVICE, body))
+    rest = max(1, number - len(bodies))
+    bodies += [(Kind.TARGET, target(each, services)) for each in range(rest)]
+    return [Versioned(kind, body.name, 1, body, 1) for kind, body in bodies]
+
+
+def changes(number: int, count: int) -> list[Versioned]:
+    """Return so many changes of targets, each of another one."""
+    services = max(1, number // (TARGETS_PER_SERVICE + 1))
+    return [
+        Versioned(Kind.TARGET, body.name, 2, body, 1)
+        for body in (target(each, services) for each in range(count))
+    ]
+
+
+def packet_of(caller: int) -> bytes:
+    """Return the packet of one caller to one of the first 16 services."""
+    src = (10 << 24 | caller >> 12).to_bytes(4, "big")
+    return udp_packet(src, 1024 + (caller & 4095), bytes([12, 0, 0, caller % 16]), 443)
+
+
+class Site:
+    """Engines under one paused clock; messages arrive at once."""
+
+    def __init__(self, number: int, configuration: list[Versioned]):
+        self.clock = Clock()
+        self.clock.advance(EPOCH_S)
+        vms = entries(number)
+        self.engines = {
+            vm.name: EntryEngine.from_config(
+                EntryConfig(vm, vms), self.clock, random.Random(1), 1
+            )
+            for vm in vms
+        }
+        for engine in self.engines.values():
+            engine.objects(configuration)
+            engine.node.state = EntryState.LIVE
+        self.sent: list[tuple[str, SendPeer]] = []
+
+    def run(self, seconds: int) -> None:
+        """Let time pass; keep what is sent in the last second."""
+        for _ in range(4 * seconds):
+            self.clock.advance(0.25)
+            for name, engine in self.engines.items():
+                self.deliver(name, engine.tick())
+
+    def deliver(self, sender: str, actions: list) -> None:
+        """Carry messages to their end."""
+        for action in actions:
+            if isinstance(action, SendPeer):
+                back = self.engines[action.peer].message(sender, action.message)
+                self.deliver(action.peer, back)
+
+
+def wire(sender: str, message: object) -> bytes:
+    """Return a message as it goes out."""
+    return SEALER.seal(encode(sender, message))
+
+
+def heard(datagram: bytes, engine: EntryEngine) -> None:
+    """Take a datagram as an entry takes it."""
+    sender, message = decode(SEALER.open(datagram))
+    engine.message(sender, message)
+
+
+def seconds_of(call: Callable[[], object]) -> float:
+    """Return how long a call takes."""
+    started = time.perf_counter()
+    call()
+    return time.perf_counter() - started
+
+
+def traced(call: Callable[[], object]) -> tuple[object, int]:
+    """Return a call's result and the bytes that it left allocated."""
+    tracemalloc.start()
+    result = call()
+    held, _peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return result, held
+
+
+def beat_of(engine: EntryEngine, names: tuple[str, ...], sequence: int) -> Heartbeat:
+    """Return the heartbeat that an entry sends when it hears all others."""
+    me, store = engine.node.me, engine.node.store
+    others = tuple(name for name in names if name != me.name)
+    return Heartbeat(
+        me.name,
+        me.domain,
+        1,
+        sequence,
+        EntryState.LIVE,
+        store.digest,
+        me.address,
+        others,
+    )
+
+
+def beats(number: int) -> tuple[float, ...]:
+    """Cost of one second of heartbeats at one entry among so many members."""
+    site = Site(number, objects(16))
+    site.run(2)
+    names = tuple(site.engines)
+    engine = site.engines[names[0]]
+    out_s, in_s, tick_s = [], [], []
+    for sequence in range(1000, 1000 + ROUNDS):
+        site.clock.advance(0.25)
+        beat = beat_of(engine, names, sequence)
+        out = [wire(names[0], beat) for _ in names[1:]]
+        out_s.append(seconds_of(lambda b=beat: [wire(names[0], b) for _ in names[1:]]))
+        arriving = [
+            wire(name, beat_of(site.engines[name], names, sequence))
+            for name in names[1:]
+        ]
+        in_s.append(seconds_of(lambda a=arriving: [heard(each, engine) for each in a]))
+        tick_s.append(seconds_of(engine.tick))
+    cpu_s = median(out_s) + median(in_s) + 4 * median(tick_s)
+    return (
+        number,
+        len(out[0]),
+        sum(map(len, out)) / 1000,
+        1e3 * median(out_s),
+        1e3 * median(in_s),
+        1e3 * median(tick_s),
+        100 * cpu_s,
+    )
+
+
+def store(number: int) -> tuple[float, ...]:
+    """Cost of the configuration, and of one change of it, at one entry."""
+    all_objects = objects(number)
+    filled, held = traced(lambda: _filled(all_objects))
+    merge_s, engine_s = [], []
+    news = changes(number, 2 * ROUNDS)
+    for change in news[:ROUNDS]:
+        merge_s.append(seconds_of(lambda c=change: filled.merge([c])))
+    engine = next(iter(Site(1, all_objects).engines.values()))
+    for change in news[ROUNDS:]:
+        engine_s.append(seconds_of(lambda c=change: engine.objects([c])))
+    size = sum(len(str(object_to_json(obj))) for obj in all_objects) / len(all_objects)
+    behind = ConfigStore()
+    behind.merge(all_objects)
+    delta = filled.differing(behind.bucket_digests())
+    sync_bytes = sum(len(str(object_to_json(obj))) for obj in delta) / ROUNDS
+    return (
+        len(all_objects),
+        held / len(all_objects),
+        held / 1e6,
+        1e3 * median(merge_s),
+        1e3 * median(engine_s),
+        size,
+        len(delta),
+        sync_bytes * ROUNDS / 1000,
+    )
+
+
+def _filled(all_objects):
+    filled = ConfigStore()
+    filled.merge(all_objects)
+    return filled
+
+
+def flows(number: int) -> tuple[float, ...]:
+    """Cost of held flows: memory, a pass of the sweep, and copies of records."""
+    site = Site(9, objects(100))
+    site.run(2)
+    engine = next(iter(site.engines.values()))
+    _none, held = traced(lambda: _hold(engine, number))
+    engine.node.ring_changed_at = float("-inf")
+    steps = []
+    for _ in range(8):
+        site.clock.advance(0.25)
+        now = site.clock.seconds()
+        steps.append(seconds_of(lambda n=now: engine._sweeper.step(n)))
+    records = [flow.record for flow in list(engine.node.flows.flows.values())[:40]]
+    batch_bytes = len(wire("entry-00000", RecordBatch(tuple(records))))
+    visited = min(number, 4000)
+    return (
+        number,
+        held / number,
+        1e3 * median(steps),
+        1e6 * median(steps) / visited,
+        400 * median(steps),
+        batch_bytes / len(records),
+    )
+
+
+def _hold(engine, number):
+    node = engine.node
+    now = node.clock.seconds()
+    targets = sorted(node.store.targets)
+    for caller in range(number):
+        key = flow_key(packet_of(caller))
+        record = Record(key, targets[caller % len(targets)], 1, int(now * 1000))
+        flow = node.flows.put(record, bucket_of(key), now)
+        flow.holders = node.members.ring.holders(flow.bucket)
+        flow.placed_at = now
+        flow.proven = True
+
+
+def openings(number: int) -> tuple[float, ...]:
+    """Cost of openings over all their hops: ingress, primary, two standbys."""
+    site = Site(9, objects(100))
+    site.run(2)
+    for engine in site.engines.values():
+        engine.node.ring_changed_at = float("-inf")
+    first = next(iter(site.engines))
+    hops, sent_bytes = [0], [0]
+
+    def carry(name, actions):
+        for action in actions:
+            if not isinstance(action, SendPeer):
+                continue
+            datagram = wire(name, action.message)
+            hops[0] += 1
+            sent_bytes[0] += len(datagram)
+            sender, message = decode(SEALER.open(datagram))
+            carry(action.peer, site.engines[action.peer].message(sender, message))
+
+    def open_all():
+        for caller in range(number):
+            carry(first, site.engines[first].packet(packet_of(caller)))
+
+    passed_s = seconds_of(open_all)
+    relay = Relay(packet_of(1), 0, "", (), (first,))
+    sealed = wire(first, relay)
+    return (
+        number,
+        1e6 * passed_s / number,
+        hops[0] / number,
+        sent_bytes[0] / number,
+        1e6 * seconds_of(lambda: [wire(first, relay) for _ in range(number)]) / number,
+        1e6
+        * seconds_of(lambda: [decode(SEALER.open(sealed)) for _ in range(number)])
+        / number,
+    )
+
+
+TABLES = {
+    "beats": (
+        beats,
+        MEMBERS,
+        "members|bytes a beat|KB/s sent|ms/s send|ms/s take|ms a tick|% of a core",
+    ),
+    "store": (
+        store,
+        OBJECTS,
+        "objects|B an object|MB|ms a merge|ms a change|JSON B|sync objects|sync KB",
+    ),
+    "flows": (
+        flows,
+        FLOWS,
+        "flows|B a flow|ms a step|us a visit|% of a core|wire B a copy",
+    ),
+    "openings": (
+        openings,
+        OPENINGS,
+        "openings|us an opening|messages|wire B|us a seal|us an open",
+    ),
+}
+
+
+def rows(name: str) -> Iterator[tuple[float, ...]]:
+    """Measure one table, row by row."""
+    measure, sizes, _headers = TABLES[name]
+    for size in sizes:
+        yield measure(size)
+
+
+def main(names: list[str]) -> None:
+    """Measure and print the tables of these names, or all."""
+    for name in names or TABLES:
+        headers = TABLES[name][2].split("|")
+        print(f"\n{name}\n{tabulate(rows(name), headers, floatfmt='.4g')}", flush=True)
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(f"\npeak memory of this process {peak_mb:.0f} MB, digest {DIGEST_BYTES} B")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
