--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -75,7 +75,7 @@
 
     def start_entry(self, name):
         """Start one entry."""
-        self.start(name, [*self.entry_command, "start"])
+        self.start(name, self.entry_command)
 
     def ctl(self, *args):
         """Run `kumquat-ctl`; raise when it fails."""
--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -27,18 +27,19 @@
 COPY_SHARE = 0.6
 
 
-class Commands:
+class EntryCommand:
     """Takes packets from the fabric, decides for each flow, and forwards."""
 
     def __init__(self, env: Environment):
         self._env = env
 
-    def check(self, settings):
-        """Check a settings file and tell every mistake; start nothing."""
-        return check_settings(EntrySettings, settings, self._env)
+    def run(self, settings, check=False):
+        """Run one entry until SIGTERM or SIGINT; it hands its flows over then.
 
-    def start(self, settings):
-        """Run one entry until SIGTERM or SIGINT; it hands its flows over then."""
+        With --check it starts nothing and tells every mistake of the file.
+        """
+        if check:
+            return check_settings(EntrySettings, settings, self._env)
         loaded = EntrySettings.load(settings)
         if not is_successful(loaded):
             return tell_problems(settings, loaded, self._env)
@@ -101,8 +102,9 @@
 
 def main(args: list[str], env: Environment) -> ExitStatus:
     """Run the program with the arguments of a command line."""
+    command = EntryCommand(env)
     return fire.Fire(
-        Commands(env), command=args, name="kumquat-entry", serialize=lambda _: None
+        command.run, command=args, name="kumquat-entry", serialize=lambda _: None
     )
 
 
--- a/kumquatshift/settings/sample.py
+++ b/kumquatshift/settings/sample.py
@@ -55,7 +55,7 @@
 anything else. Each mistake is listed with its section and key, what was found
 and what is allowed; an unknown key or section is a mistake, told with the
 nearest known name. With any mistake nothing is started and the exit status
-is 3. `kumquat-entry FILE --check` and `kumquat-ctl check FILE` check a file alone.
+is 3. `--check` checks a file alone; `kumquat-ctl check FILE` does so for its own.
 
 A key without a default must be given. An address that is not a loopback
 address needs a digest key and certificates, see [KEYS.md](KEYS.md).
