--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -15,6 +15,7 @@
 SETTLE_S = 15.0
 MAX_SETTLE_S = 60.0
 RECORD_WIRE_BYTES = 24
+BATCH_WIRE_BYTES = 96
 
 
 @dataclass(frozen=True)
@@ -89,6 +90,15 @@
         reachable = [t for t in in_service if self.reaches(t.domain)]
         return reachable or in_service
 
+    def cut_off(self) -> bool:
+        """Tell whether a domain in service, with entries listed, is out of reach."""
+        return any(
+            member.listed
+            and member.domain not in self.members.reachable_domains
+            and self.store.domain_in(member.domain)
+            for member in self.members.members.values()
+        )
+
     def reaches(self, domain: str) -> bool:
         """Tell whether a domain can be reached, as far as its entries show."""
         if domain in self.members.reachable_domains:
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -6,7 +6,7 @@
 
 The holders of a flow's requests are worked out over all entries that may be
 running, also those out of reach. Only a seasoned one, which has run longer than
-a request may live, knows that a request is new; the first seasoned one in reach
+callers repeat a request, knows that a request is new; the first seasoned one in reach
 is the primary. A request that may not run twice is passed on only while two of
 the three holders are seasoned and in reach. Any two pairs of three share one,
 so two sides never both run it. The others hold what they are told meanwhile.
@@ -121,6 +121,7 @@
 
     def tick(self, now: float) -> list[Action]:
         """Decide what time alone decides; to be called every 50 ms or so."""
+        self._pool.cut_off = self._cut_off()
         return self._carry_out(self._policy.tick(now)) + self._copies()
 
     def ring_changed(self) -> None:
@@ -187,16 +188,18 @@
         """Tell whether two of the flow's three holders are of one mind."""
         node = self._node
         view = self._view(flow)
-        if view is None or not self.is_seasoned(view, node.clock.seconds()):
+        if view is None:
             return False
+        seasoned = self.is_seasoned(view, node.clock.seconds())
         if not node.members.members:
-            return True
+            return seasoned
         holders = node.members.known.holders(_bucket(flow))
         inside = node.name in (holder.name for holder in holders)
-        return inside and 2 * (1 + len(self._seasoned(flow))) > len(holders)
+        witnesses = len(self._seasoned(flow)) + (inside and seasoned)
+        return 2 * witnesses > len(holders)
 
     def is_seasoned(self, view: ServiceView, now: float) -> bool:
-        """Tell whether we have run longer than a service's requests may live."""
+        """Tell whether we have run longer than a service's callers repeat requests."""
         since = max(self._started_at, self._node.resumed_at)
         return now - since >= _season_s(view)
 
@@ -226,6 +229,12 @@
             return self.is_seasoned(view, now)
         return now - node.members.members[name].first_heard >= _season_s(view)
 
+    def _cut_off(self):
+        """Return the failure domains with targets that we do not reach."""
+        node = self._node
+        domains = {target.domain for target in self._pool.targets.values()}
+        return frozenset(name for name in domains if not node.reaches(name))
+
     def _view(self, flow):
         return self._node.store.by_address.get(_address(flow))
 
@@ -289,7 +298,7 @@
 
 
 def _season_s(view):
-    return view.profile.request_timeout_s + SEASON_EXTRA_S
+    return view.profile.repeat_span_s + SEASON_EXTRA_S
 
 
 def _address(flow):
