--- a/extras/demo/run.py
+++ b/extras/demo/run.py
@@ -115,7 +115,7 @@
         names = set(self.site["entries"])
         self.wait_for(lambda: self.ready_entries() == names, "all entries to be ready")
         self.wait_for(self.is_configured, "all entries to be configured")
-        self.wait_for(self.is_seasoned, "all entries to be seasoned")
+        self.wait_for(self.is_quiet_time_over, "the quiet time to end")
 
     def wait_for(self, condition, what):
         """Wait until ``condition()`` holds; raise if a process ends meanwhile."""
@@ -127,11 +127,13 @@
 
         wait_for(holds, READY_LIMIT_S, what)
 
-    def is_seasoned(self):
+    def is_quiet_time_over(self):
         """Tell whether every entry has run long enough to know what is new."""
         hosts = [text.split()[-1] for text in self.site["entries"].values()]
         dumps = [fetch(f"http://{host}:{ADMIN_PORT}/dump") for host in hosts]
-        return all(dump and all(dump.get("seasoned", {}).values()) for dump in dumps)
+        return all(
+            dump and all(dump.get("quiet_time_over", {}).values()) for dump in dumps
+        )
 
     def ready_entries(self):
         """Return the names of the entries that the fabric finds ready."""
--- a/kumquatshift/adapters/envelope.py
+++ b/kumquatshift/adapters/envelope.py
@@ -100,7 +100,7 @@
     message = pb.Relay(
         data=relay.data,
         direction=relay.direction,
-        home=relay.home,
+        primary=relay.primary,
         path=relay.path,
         visited=relay.visited,
         copies=relay.copies,
@@ -134,7 +134,7 @@
     return Relay(
         message.data,
         Direction(message.direction),
-        message.home,
+        message.primary,
         tuple(message.path),
         tuple(message.visited),
         record,
--- a/kumquatshift/engine/dump.py
+++ b/kumquatshift/engine/dump.py
@@ -46,7 +46,7 @@
     ready: bool
     incarnation: int
     settled: bool
-    seasoned: dict[str, bool]
+    quiet_time_over: dict[str, bool]
     reader: bool
     ring: tuple[str, ...]
     reachable_domains: tuple[str, ...]
@@ -69,7 +69,7 @@
         ready=engine.ready,
         incarnation=node.members.incarnation,
         settled=node.settled(now),
-        seasoned=engine.seasoned,
+        quiet_time_over=engine.quiet_time_over,
         reader=engine.watching,
         ring=tuple(entry.name for entry in node.members.ring.entries),
         reachable_domains=tuple(sorted(node.members.reachable_domains)),
--- a/kumquatshift/engine/entry.py
+++ b/kumquatshift/engine/entry.py
@@ -140,9 +140,9 @@
         return handed_over and now - self._last_packet > quiet_s
 
     @property
-    def seasoned(self) -> dict[str, bool]:
+    def quiet_time_over(self) -> dict[str, bool]:
         """For each request service, whether we know which requests are new."""
-        return self._requests.seasoned_for(self.node.clock.seconds())
+        return self._requests.quiet_times_over(self.node.clock.seconds())
 
     def latencies(self) -> list[tuple[str, float]]:
         """Return profile and seconds of each request answered since the last call."""
--- a/kumquatshift/engine/messages.py
+++ b/kumquatshift/engine/messages.py
@@ -36,7 +36,7 @@
 class Relay:
     """A packet on its way between entries.
 
-    An empty ``path`` asks the receiver to decide as the flow's home. Otherwise
+    An empty ``path`` asks the receiver to decide as the flow's primary. Otherwise
     the receiver merges ``record`` with what it holds and passes the packet on
     along ``path``; the last one sends it to the target. The first ``copies``
     of the path keep a copy of the record.
@@ -44,7 +44,7 @@
 
     data: bytes
     direction: Direction
-    home: str = ""
+    primary: str = ""
     path: tuple[str, ...] = ()
     visited: tuple[str, ...] = ()
     record: Record | None = None
--- a/kumquatshift/engine/request_router.py
+++ b/kumquatshift/engine/request_router.py
@@ -4,42 +4,37 @@
 other holders, which adopt it, before a target or the caller sees it. A holder
 that knows otherwise lets the packet go no further.
 
-The holders of a flow's requests are worked out over all entries that may be
-running, also those out of reach. Only a seasoned one, which has run longer than
-callers repeat a request, knows that a request is new; the first seasoned one in reach
-is the primary. A request that may not run twice is passed on only while two of
-the three holders are seasoned and in reach. Any two pairs of three share one,
-so two sides never both run it. The others hold what they are told meanwhile.
-
 All requests of a service have the same holders, so that one entry gives out the
-slots of the service's targets, and no two count on the same slot.
+slots of the service's targets, and no two count on the same slot. Who these are
+is worked out in `holders`.
 """
 
 from .actions import Action, DropReason, SendCaller, SendPeer, SendTarget
 from .decisions import Decision, Forward, Pass, Refuse, Return
+from .holders import RequestHolders
 from .messages import Direction, Record, RecordBatch, Relay
 from .node import Node
 from .packets import KEY_BYTES, flow_key, reverse_key
 from .refusals import note_of
 from .requests import RequestPolicy
-from .ring import bucket_of
 from .slots import SlotPool
-from .store import ServiceView, service_address
+from .store import ServiceView
 
-SEASON_EXTRA_S = 2.0
 RECORDS_PER_BATCH = 20
 RECORDS_PER_TICK = 200
 
 
 class RequestRouter:
-    """Requests of one entry; also the policy's `Standing`."""
+    """Requests of one entry."""
 
     def __init__(self, node: Node):
         self._node = node
-        self._started_at = node.clock.seconds()
+        self._holders = RequestHolders(node)
         now = node.clock.seconds()
         self._pool = SlotPool.from_config({}, [], now)
-        self._policy = RequestPolicy.from_config({}, self._pool, self, node.rng)
+        self._policy = RequestPolicy.from_config(
+            {}, self._pool, self._holders, node.rng
+        )
         self._usable: frozenset[str] = frozenset()
         self._rings = (node.members.known, node.members.ring)
         self._to_copy: list[tuple[str, Record]] = []
@@ -84,10 +79,14 @@
         decisions = [d for name in lost for d in self._policy.lose_target(name, now)]
         return self._carry_out(decisions)
 
-    def seasoned_for(self, now: float) -> dict[str, bool]:
+    def primary(self, view: ServiceView) -> str:
+        """Return the entry that decides on a service's requests, "" if none does."""
+        return self._holders.primary(view)
+
+    def quiet_times_over(self, now: float) -> dict[str, bool]:
         """Tell for each request service whether we know which requests are new."""
         return {
-            name: self.is_seasoned(view, now)
+            name: self._holders.quiet_time_over(view, now)
             for name, view in self._node.store.by_name.items()
             if view.takes_requests
         }
@@ -109,13 +108,13 @@
             return [self._node.drop(DropReason.UNKNOWN_SERVICE)]
         adopted = self._policy.adopt(name, record, now)
         counted_on = relay.copies > 0
-        if not adopted or (counted_on and not self.is_seasoned(view, now)):
+        if not adopted or (counted_on and not self._holders.quiet_time_over(view, now)):
             return [self._node.drop(DropReason.CONTRADICTED)]
         return self._along(relay.path, record, relay.data, relay.copies - 1)
 
     def adopt(self, record: Record, now: float) -> None:
         """Hold a record that was copied outside the packet path."""
-        view = self._view(record.key)
+        view = self._holders.view(record.key)
         if view is not None and view.created == record.service:
             self._policy.adopt(view.service.name, record, now)
 
@@ -130,27 +129,16 @@
         Whoever decided before the change sends them, and who decides now, since
         the one of before may have failed.
         """
-        before, self._rings = (
-            self._rings,
-            (
-                self._node.members.known,
-                self._node.members.ring,
-            ),
-        )
+        members, holders = self._node.members, self._holders
+        before, self._rings = self._rings, (members.known, members.ring)
         for exchange in self._policy.exchanges.open():
             if not exchange.target:
                 continue
             flow = exchange.flow
-            if self.is_primary(flow) or self._was_primary(flow, *before):
+            if holders.is_primary(flow) or holders.was_primary(flow, *before):
                 record = self._record(note_of(exchange))
-                self._to_copy += [
-                    (name, record)
-                    for name in self._seasoned(flow) + self._unseasoned(flow)
-                ]
-
-    def _was_primary(self, flow, known, ring):
-        present = [h for h in known.holders(_bucket(flow)) if h in ring.present]
-        return bool(present) and present[0].name == self._node.name
+                names = holders.witnesses(flow) + holders.newcomers(flow)
+                self._to_copy += [(name, record) for name in names]
 
     def _copies(self):
         """Take the next few exchanges to copy, in one message for each entry."""
@@ -167,79 +155,14 @@
             for start in range(0, len(each), RECORDS_PER_BATCH)
         ]
 
-    def primary(self, view: ServiceView) -> str:
-        """Return the entry that decides on a service's requests, "" if none does."""
-        node = self._node
-        now = node.clock.seconds()
-        bucket = bucket_of(service_address(view.service))
-        for holder in node.members.known.holders(bucket):
-            if self._counts(holder.name, view, now):
-                return holder.name
-        return next(iter(node.members.ring.order(bucket)), "")
-
-    def is_primary(self, flow: bytes) -> bool:
-        """Tell whether we decide for the flow, as far as we see."""
-        view = self._view(flow)
-        if view is None:
-            return False
-        return self.primary(view) == self._node.name
-
-    def is_certain(self, flow: bytes) -> bool:
-        """Tell whether two of the flow's three holders are of one mind."""
-        node = self._node
-        view = self._view(flow)
-        if view is None:
-            return False
-        seasoned = self.is_seasoned(view, node.clock.seconds())
-        if not node.members.members:
-            return seasoned
-        holders = node.members.known.holders(_bucket(flow))
-        inside = node.name in (holder.name for holder in holders)
-        witnesses = len(self._seasoned(flow)) + (inside and seasoned)
-        return 2 * witnesses > len(holders)
-
-    def is_seasoned(self, view: ServiceView, now: float) -> bool:
-        """Tell whether we have run longer than a service's callers repeat requests."""
-        since = max(self._started_at, self._node.resumed_at)
-        return now - since >= _season_s(view)
-
-    def _seasoned(self, flow):
-        """Return the other holders in reach that know what is new."""
-        now, view = self._node.clock.seconds(), self._view(flow)
-        names = self._other_holders(flow)
-        return tuple(name for name in names if self._counts(name, view, now))
-
-    def _unseasoned(self, flow):
-        """Return the other holders in reach that only hold what they are told."""
-        now, view = self._node.clock.seconds(), self._view(flow)
-        alive = self._node.members.ring.names
-        names = [name for name in self._other_holders(flow) if name in alive]
-        return tuple(name for name in names if not self._counts(name, view, now))
-
-    def _other_holders(self, flow):
-        holders = self._node.members.known.holders(_bucket(flow))
-        return [h.name for h in holders if h.name != self._node.name]
-
-    def _counts(self, name, view, now):
-        """Tell whether an entry is seasoned and in reach."""
-        node = self._node
-        if view is None or name not in node.members.ring.names:
-            return False
-        if name == node.name:
-            return self.is_seasoned(view, now)
-        return now - node.members.members[name].first_heard >= _season_s(view)
-
     def _cut_off(self):
         """Return the failure domains with targets that we do not reach."""
         node = self._node
         domains = {target.domain for target in self._pool.targets.values()}
         return frozenset(name for name in domains if not node.reaches(name))
 
-    def _view(self, flow):
-        return self._node.store.by_address.get(_address(flow))
-
     def _record(self, note):
-        view = self._view(note.key)
+        view = self._holders.view(note.key)
         created = view.created if view is not None else 0
         return Record(
             note.key, note.target, created, note.born_ms, note.epoch, False, note.detail
@@ -261,17 +184,17 @@
         ):
             record = self._record(decision.note)
             flow = decision.note.key[:KEY_BYTES]
-            counted_on = self._seasoned(flow)
-            path = counted_on + self._unseasoned(flow)
-            return self._along(path, record, decision.data, len(counted_on))
+            witnesses = self._holders.witnesses(flow)
+            path = witnesses + self._holders.newcomers(flow)
+            return self._along(path, record, decision.data, len(witnesses))
         if isinstance(decision, Refuse):
             return [SendCaller(decision.data)]
         return []
 
-    def _along(self, path, record, data, counted_on):
+    def _along(self, path, record, data, witnesses):
         """Take a record past the other holders, and then its packet to its end.
 
-        The first ``counted_on`` of the path have to be seasoned.
+        The first ``witnesses`` of the path have to be such.
         """
         if path:
             relay = Relay(
@@ -281,7 +204,7 @@
                 path[1:],
                 (),
                 record,
-                max(0, counted_on),
+                max(0, witnesses),
             )
             return [SendPeer(path[0], relay)]
         if record.target:
@@ -295,15 +218,3 @@
             return [node.drop(DropReason.DOMAIN_OUT)]
         node.sent[name] += 1
         return [SendTarget(target.host, target.port, data)]
-
-
-def _season_s(view):
-    return view.profile.repeat_span_s + SEASON_EXTRA_S
-
-
-def _address(flow):
-    return flow[4:8] + flow[10:KEY_BYTES]
-
-
-def _bucket(flow):
-    return bucket_of(_address(flow))
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -224,7 +224,7 @@
         best = prefer(carried, own and own.record)
         actions = []
         if best is not carried and _differ(best, carried):
-            actions = self._tell_holders(relay.home, best)
+            actions = self._tell_holders(relay.primary, best)
         if relay.copies > 0 or own is not None:
             flow = self._hold(best, now)
             self._mark_placed(flow, flow.holders, relay.data, now)
@@ -237,11 +237,11 @@
         onward = replace(relay, path=relay.path[1:], record=best, copies=copies)
         return [*actions, SendPeer(relay.path[0], onward)]
 
-    def _tell_holders(self, home, record):
+    def _tell_holders(self, primary, record):
         """Send a better record to those that may hold a worse one by now."""
         node = self._node
         holders = node.members.ring.holders(bucket_of(record.key))
-        names = {home, *(holder.name for holder in holders)} - {node.name}
+        names = {primary, *(holder.name for holder in holders)} - {node.name}
         batch = RecordBatch((record,))
         return [SendPeer(name, batch) for name in sorted(names)]
 
--- a/kumquatshift/measures/request_site.py
+++ b/kumquatshift/measures/request_site.py
@@ -31,7 +31,7 @@
 
 #: Longer than a packet of one request may be about: an entry that has run for
 #: so long has seen all that it holds.
-SEASON_S = 7.0
+QUIET_TIME_S = 7.0
 LATE_S = 2.0
 
 GIVE_UP_S = 5.5
@@ -65,7 +65,7 @@
         self.site, self.name, self.make_policy = site, name, make_policy
         self.alive = False
         self.heard = {}
-        self.start(-SEASON_S)
+        self.start(-QUIET_TIME_S)
 
     def start(self, since):
         """Run from now on, with nothing remembered."""
@@ -80,9 +80,9 @@
         heard = self.heard.get(other.name, -SUSPECT_S)
         return self.site.now() - heard < SUSPECT_S
 
-    def is_seasoned(self):
+    def is_quiet_time_over(self):
         """Tell whether this entry has run long enough to know its flows."""
-        return self.site.now() - self.since >= SEASON_S
+        return self.site.now() - self.since >= QUIET_TIME_S
 
     def primary(self):
         """Return who decides, as this entry sees it."""
@@ -93,7 +93,7 @@
         return [
             entry
             for entry in self.site.entries[:HOLDERS]
-            if entry is not self and self.sees(entry) and entry.is_seasoned()
+            if entry is not self and self.sees(entry) and entry.is_quiet_time_over()
         ]
 
     def is_primary(self, flow):
@@ -103,8 +103,8 @@
     def is_certain(self, flow):
         """Tell whether two of the three holders know all, and will be asked."""
         inside = self in self.site.entries[:HOLDERS]
-        seasoned = len(self.holders()) + self.is_seasoned()
-        return inside and seasoned >= WITNESSES
+        witnesses = len(self.holders()) + self.is_quiet_time_over()
+        return inside and witnesses >= WITNESSES
 
     def tick(self):
         """Let the policy's time pass."""
@@ -172,7 +172,7 @@
     def hold(self, rest, record, data):
         """Hold a record, and pass its packet on unless it must stop here."""
         adopted = self.policy.adopt(SERVICE, record, self.site.now())
-        if adopted and self.is_seasoned():
+        if adopted and self.is_quiet_time_over():
             self.along(rest, record, data)
 
     def to_caller(self, data):
