--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -26,6 +26,8 @@
 
 COPY_SHARE = 0.6
 
+log = logs.logger_for(logs.Part.ENTRY)
+
 
 class EntryCommand:
     """Takes packets from the fabric, decides for each flow, and forwards."""
@@ -50,7 +52,10 @@
 
 
 def run_entry(cfg: EntrySettings) -> ExitStatus:
-    """Run one entry until it is told to leave and has left."""
+    """Run one entry until it is told to leave and has left.
+
+    The status is UNAVAILABLE if a port can not be opened.
+    """
     reactor = install_reactor()
     engine = EntryEngine.from_config(
         engine_config(cfg), reactor, random.SystemRandom(), new_incarnation()
@@ -59,14 +64,34 @@
     driver = EntryDriver(cfg, engine, reactor, Sealer.from_config(cfg.keys), control)
     if cfg.platform.url:
         driver.use_platform(_platform(cfg, reactor))
-    context = tls.admin_context(cfg.tls)
-    listen_admin(reactor, cfg.entry.address, cfg.entry.admin_port, driver, context)
-    server = _serve_control(cfg, driver)
-    server.add_done_callback(lambda _: driver.start())
-    reactor.addSystemEventTrigger("before", "shutdown", driver.drain)
-    reactor.addSystemEventTrigger("during", "shutdown", _stop, control, server)
+    starting = asyncio.ensure_future(_open_ports(cfg, driver, reactor))
+    failures = []
+
+    def started(fut):
+        if fut.exception() is None:
+            reactor.addSystemEventTrigger("before", "shutdown", driver.drain)
+            reactor.addSystemEventTrigger(
+                "during", "shutdown", _stop, control, fut.result()
+            )
+            return
+        log.error("It cannot start: {}.", fut.exception())
+        failures.append(fut.exception())
+        reactor.callWhenRunning(reactor.stop)
+
+    starting.add_done_callback(started)
     reactor.run()
-    return ExitStatus.SUCCESS
+    return ExitStatus.UNAVAILABLE if failures else ExitStatus.SUCCESS
+
+
+async def _open_ports(cfg, driver, reactor):
+    """Open all ports, the control port first: peers call as soon as they hear us."""
+    entry = cfg.entry
+    place = f"{entry.address}:{entry.control_port}"
+    server = await serve(driver.servicer(), place, tls.server_credentials(cfg.tls))
+    context = tls.admin_context(cfg.tls)
+    listen_admin(reactor, entry.address, entry.admin_port, driver, context)
+    driver.start()
+    return server
 
 
 def engine_config(cfg: EntrySettings) -> EntryConfig:
@@ -86,16 +111,10 @@
     return PlatformClient.from_config(section, reactor)
 
 
-def _serve_control(cfg, driver):
-    place = f"{cfg.entry.address}:{cfg.entry.control_port}"
-    call = serve(driver.servicer(), place, tls.server_credentials(cfg.tls))
-    return asyncio.ensure_future(call, loop=asyncio.get_event_loop())
-
-
-def _stop(control: ControlClient, server: "asyncio.Future[grpc.aio.Server]"):
+def _stop(control: ControlClient, server: grpc.aio.Server) -> Deferred:
     async def stop():
         await control.close()
-        await (await server).stop(grace=0.5)
+        await server.stop(grace=0.5)
 
     return Deferred.fromFuture(asyncio.ensure_future(stop()))
 
