--- a/kumquatshift/engine/node.py
+++ b/kumquatshift/engine/node.py
@@ -10,6 +10,7 @@
 from .messages import EntryState, Record
 from .objects import Target
 from .ports import Clock, Randomness
+from .ring import COPIES
 from .store import ConfigStore, ServiceView
 
 SETTLE_S = 15.0
@@ -90,6 +91,16 @@
         reachable = [t for t in in_service if self.reaches(t.domain)]
         return reachable or in_service
 
+    def has_room(self, target: Target) -> bool:
+        """Estimate whether a target can take one more flow.
+
+        We hold a share of all records, three of each, spread evenly over the
+        entries; so what we hold for a target tells what it has in all.
+        """
+        entries = len(self.members.ring.entries)
+        held = self.flows.held.get(target.name, 0)
+        return held * entries < target.connections * min(COPIES, entries)
+
     def cut_off(self) -> bool:
         """Tell whether a domain in service, with entries listed, is out of reach."""
         return any(
--- a/kumquatshift/engine/router.py
+++ b/kumquatshift/engine/router.py
@@ -171,7 +171,11 @@
     def _open(self, view, key, data, now, epoch, avoid=""):
         """Choose a target for a new flow and place its record."""
         node = self._node
-        usable = [t for t in node.choices(view) if t.name != avoid]
+        usable = [
+            target
+            for target in node.choices(view)
+            if target.name != avoid and node.has_room(target)
+        ]
         if len(node.flows) >= node.limits.max_flows:
             usable = []
         target = node.chooser.pick(view, usable, node.flows.held, key, now)
