--- a/kumquatshift/programs/entry.py
+++ b/kumquatshift/programs/entry.py
@@ -84,13 +84,16 @@
 
 
 async def _open_ports(cfg, driver, reactor):
-    """Open all ports, the control port first: peers call as soon as they hear us."""
+    """Open all ports: control first, since peers call as soon as they hear us.
+
+    The admin port comes last; once it answers, all others are open.
+    """
     entry = cfg.entry
     place = f"{entry.address}:{entry.control_port}"
     server = await serve(driver.servicer(), place, tls.server_credentials(cfg.tls))
+    driver.start()
     context = tls.admin_context(cfg.tls)
     listen_admin(reactor, entry.address, entry.admin_port, driver, context)
-    driver.start()
     return server
 
 
--- a/tests/features/entry.feature
+++ b/tests/features/entry.feature
@@ -24,3 +24,19 @@
     And the entry's settings say "admin_port = 73000"
     When the entry is started
     Then the entry ends with status 3 and tells "admin_port"
+
+  Scenario Outline: Bad datagrams are dropped, counted by reason, and hardly logged
+    Given an entry with a digest key, set up at 127.15.0.<host>
+    When the entry is started
+    And 100 datagrams of <kind> come to port <port> from 127.15.0.<source>
+    Then the entry counts 100 drops for "<reason>"
+    And the entry ends with status 0 on SIGTERM, with at most 10 lines
+
+    Examples:
+      | host | kind               | port | source | reason          |
+      | 11   | garbage            | 6080 | 100    | malformed       |
+      | 12   | nothing            | 6080 | 100    | malformed       |
+      | 13   | an unknown service | 6080 | 100    | unknown-service |
+      | 14   | a fragment         | 6080 | 100    | fragment        |
+      | 15   | an unknown service | 6080 | 101    | stranger        |
+      | 16   | garbage            | 7100 | 101    | not-authentic   |
--- a/tests/features/steps/entry_steps.py
+++ b/tests/features/steps/entry_steps.py
@@ -10,6 +10,8 @@
 
 from behave import given, then, when
 
+from tests.support.network import udp_packet
+
 LIMIT_S = 20
 KINDS = {"TCP": socket.SOCK_STREAM, "UDP": socket.SOCK_DGRAM}
 SETTINGS = """[entry]
@@ -56,11 +58,15 @@
 
 @when("the entry is told to end once its admin port answers")
 def step_end(context):
+    wait_for_admin(context)
+    context.process.send_signal(signal.SIGTERM)
+
+
+def wait_for_admin(context):
     deadline = time.monotonic() + LIMIT_S
     while not answers(f"http://{context.address}:7300/ready"):
         assert time.monotonic() < deadline, "the admin port never answered"
         time.sleep(0.1)
-    context.process.send_signal(signal.SIGTERM)
 
 
 def answers(url):
@@ -79,3 +85,48 @@
     assert context.process.returncode == status, (context.process.returncode, told)
     assert text in told, told
     assert "Traceback" not in told, told
+
+
+@given("an entry with a digest key, set up at {address}")
+def step_settings_with_key(context, address):
+    context.address = address
+    context.extra = "[keys]\ncurrent = " + "ab" * 32
+
+
+@when("{count:d} datagrams of {kind} come to port {port:d} from {source}")
+def step_bad_datagrams(context, count, kind, port, source):
+    wait_for_admin(context)
+    good = udp_packet(b"\x0a\x00\x00\x02", 5000, b"\x0a\x00\x00\x01", 5683)
+    data = {
+        "garbage": b"\xff" * 60,
+        "nothing": b"",
+        "an unknown service": good,
+        "a fragment": good[:6] + b"\x20\x00" + good[8:],
+    }[kind]
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.bind((source, 0))
+    for _ in range(count):
+        sender.sendto(data, (context.address, port))
+    sender.close()
+
+
+@then('the entry counts {count:d} drops for "{reason}"')
+def step_drops_counted(context, count, reason):
+    line = f'kumquatshift_drops_total{{reason="{reason}"}} {count}'
+    url = f"http://{context.address}:7300/metrics"
+    deadline = time.monotonic() + LIMIT_S
+    while True:
+        with urllib.request.urlopen(url, timeout=2) as page:
+            text = page.read().decode()
+        if line in text:
+            return
+        assert time.monotonic() < deadline, text
+        time.sleep(0.2)
+
+
+@then("the entry ends with status 0 on SIGTERM, with at most {limit:d} lines")
+def step_ended_quietly(context, limit):
+    context.process.send_signal(signal.SIGTERM)
+    _, told = context.process.communicate(timeout=LIMIT_S)
+    assert context.process.returncode == 0, told
+    assert len(told.splitlines()) <= limit, told
