--- a/kumquatshift/engine/requests.py
+++ b/kumquatshift/engine/requests.py
@@ -134,7 +134,7 @@
             return decisions
         if answer.outcome is Outcome.SHED and exchange.phase is Phase.SENT:
             return decisions + self._shed(answer, now)
-        if answer.outcome is Outcome.GOOD:
+        if answer.outcome is Outcome.GOOD and exchange.phase is Phase.SENT:
             self.latencies.append(Latency(exchange.service, now - exchange.born))
         decisions += self.answers.deliver(answer, now)
         return decisions + self.dispatcher.release(exchange, answer.outcome, now)
--- a/tests/features/steps/takeover_steps.py
+++ b/tests/features/steps/takeover_steps.py
@@ -152,3 +152,10 @@
     net.run(0.5)
     told = [read(data).payload for _, _, data in net.to_callers]
     assert text in told, told
+
+
+@then("the takeover entries counted one latency, under {limit:d} s")
+def step_latencies(context, limit):
+    engines = context.net.engines.values()
+    taken = [each for engine in engines for each in engine.latencies()]
+    assert len(taken) == 1 and taken[0][1] < limit, taken
--- a/tests/features/takeover.feature
+++ b/tests/features/takeover.feature
@@ -29,3 +29,9 @@
     Given takeover entries that have just started
     When a takeover POST is sent
     Then the takeover caller is told outcome unknown within 1 s, by a message it can take
+
+  Scenario: The latency of a watch is that of its first answer
+    Given takeover entries that know what is new
+    When a takeover watch is opened
+    Then takeover notifications reach the caller 4 s later
+    And the takeover entries counted one latency, under 1 s
