--- a/kumquatshift/engine/dispatch.py
+++ b/kumquatshift/engine/dispatch.py
@@ -25,9 +25,6 @@
 #: A standby hears nothing of a watch, and keeps it this many idle times long.
 STANDBY_IDLE_TIMES = 2
 
-#: A caller may repeat a request for so long (RFC 7252, section 4.8.2).
-MAX_TRANSMIT_SPAN_S = 45.0
-
 SALT_RANGE = 1 << 32
 
 CAUSES = {
@@ -53,7 +50,7 @@
         """Tell whether no other entry can have decided, or can now decide.
 
         True while at least two of the flow's three holders, this one included
-        if it is one, are in reach and have run for `MAX_TRANSMIT_SPAN_S`: each
+        if it is one, are in reach and have run for `Profile.repeat_span_s`: each
         decision passes all holders in reach, so any two decisions pass one
         that sees both. An entry that has just started is no witness, but it
         may decide while the other two are.
