--- a/kumquatshift/engine/requests.py
+++ b/kumquatshift/engine/requests.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from returns.pipeline import is_successful
@@ -16,7 +15,7 @@
 from .answers import AnswerReader, request_packet
 from .coap import Type
 from .datagrams import answer_packet, read_datagram
-from .decisions import Cause, Decision, Discard, Forward, Note, Pass, Return
+from .decisions import Cause, Decision, Discard, Forward, Pass, Return
 from .dispatch import Dispatcher, Standing
 from .exchanges import Exchange, ExchangeTable, Phase, digest_of
 from .messages import Record
@@ -29,18 +28,6 @@
 MAX_LATENCIES = 10_000
 
 
-class SoleEntry:
-    """Standing of an entry that has no peers."""
-
-    def is_primary(self, flow: bytes) -> bool:
-        """Return True."""
-        return True
-
-    def is_certain(self, flow: bytes) -> bool:
-        """Return True."""
-        return True
-
-
 @dataclass(frozen=True, slots=True)
 class Latency:
     """How long one request of a service took, from its first packet, in seconds."""
@@ -187,12 +174,6 @@
         self.exchanges.forget_ended(now)
         return decisions
 
-    def notes(self) -> Iterator[Note]:
-        """Go through what standbys must hold of the flows decided here."""
-        for exchange in self.exchanges.open():
-            if exchange.target and self.dispatcher.standing.is_primary(exchange.flow):
-                yield note_of(exchange)
-
     def _signal(self, flow, header, now):
         """Handle an empty message: a ping, or ACK or RST of a target's message."""
         if header.type == Type.CON:
