--- /dev/null
+++ b/kumquatshift/adapters/epoll.py
@@ -0,0 +1,157 @@
+"""A small event loop on epoll with the interface of Twisted's reactor.
+
+It has what direct return needs of `IReactorTime`, `IReactorFDSet` and
+`IReactorCore`, under the same names, so that Twisted's `Clock` and reactors can
+take its place. Twisted's own reactor takes several times as long to import as
+all the rest of such an entry; docs/DESIGN.md has the figures.
+"""
+
+from __future__ import annotations
+
+import heapq
+import os
+import select
+import signal
+import socket
+import time
+from collections.abc import Callable
+
+# Signals wake the loop through a pipe; this is only a safety net.
+LONGEST_WAIT_S = 10.0
+
+
+class DelayedCall:
+    """A call to be made later, unless it is cancelled."""
+
+    __slots__ = ("args", "call", "is_cancelled", "order", "time")
+
+    def __init__(self, when: float, order: int, call: Callable, args: tuple):
+        self.time = when
+        self.order = order
+        self.call = call
+        self.args = args
+        self.is_cancelled = False
+
+    def __lt__(self, other: DelayedCall) -> bool:
+        return (self.time, self.order) < (other.time, other.order)
+
+    def cancel(self) -> None:
+        """Do not make the call."""
+        self.is_cancelled = True
+
+
+class EpollReactor:
+    """One loop on one thread: readers, writers, delayed calls and signals."""
+
+    seconds = staticmethod(time.monotonic)
+
+    def __init__(self):
+        self._epoll = select.epoll()
+        self._readers: dict[int, object] = {}
+        self._writers: dict[int, object] = {}
+        self._calls: list[DelayedCall] = []
+        self._order = 0
+        self._is_running = False
+
+    def callLater(self, delay: float, call: Callable, *args) -> DelayedCall:  # noqa: N802
+        """Make ``call(*args)`` once, ``delay`` seconds from now."""
+        self._order += 1
+        delayed = DelayedCall(self.seconds() + delay, self._order, call, args)
+        heapq.heappush(self._calls, delayed)
+        return delayed
+
+    def addReader(self, reader) -> None:  # noqa: N802
+        """Call ``reader.doRead()`` whenever there is something to read."""
+        self._readers[reader.fileno()] = reader
+        self._register(reader.fileno())
+
+    def addWriter(self, writer) -> None:  # noqa: N802
+        """Call ``writer.doWrite()`` whenever there is room to write."""
+        self._writers[writer.fileno()] = writer
+        self._register(writer.fileno())
+
+    def removeReader(self, reader) -> None:  # noqa: N802
+        """Stop reading."""
+        if self._readers.pop(reader.fileno(), None) is not None:
+            self._register(reader.fileno())
+
+    def removeWriter(self, writer) -> None:  # noqa: N802
+        """Stop writing."""
+        if self._writers.pop(writer.fileno(), None) is not None:
+            self._register(writer.fileno())
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        """Make ``call()`` from the loop when a signal comes."""
+        signal.signal(number, lambda *_: self.callLater(0, call))
+
+    def run(self) -> None:
+        """Run until `stop` is called."""
+        self._is_running = True
+        waker = _Waker(self)
+        while self._is_running:
+            for fd, events in self._epoll.poll(self._wait_s()):
+                self._dispatch(fd, events)
+            self._make_due_calls()
+        waker.close()
+
+    def stop(self) -> None:
+        """End `run` after the present turn."""
+        self._is_running = False
+
+    def _wait_s(self) -> float:
+        while self._calls and self._calls[0].is_cancelled:
+            heapq.heappop(self._calls)
+        if not self._calls:
+            return LONGEST_WAIT_S
+        wait_s = self._calls[0].time - self.seconds()
+        return min(LONGEST_WAIT_S, max(0.0, wait_s))
+
+    def _dispatch(self, fd: int, events: int) -> None:
+        reader = self._readers.get(fd)
+        if reader is not None and events & ~select.EPOLLOUT:
+            reader.doRead()
+        writer = self._writers.get(fd)
+        if writer is not None and events & ~select.EPOLLIN:
+            writer.doWrite()
+
+    def _make_due_calls(self) -> None:
+        now = self.seconds()
+        while self._calls and self._calls[0].time <= now:
+            delayed = heapq.heappop(self._calls)
+            if not delayed.is_cancelled:
+                delayed.call(*delayed.args)
+
+    def _register(self, fd: int) -> None:
+        events = 0
+        if fd in self._readers:
+            events |= select.EPOLLIN
+        if fd in self._writers:
+            events |= select.EPOLLOUT
+        try:
+            self._epoll.unregister(fd)
+        except FileNotFoundError:
+            pass  # It was not registered before.
+        if events:
+            self._epoll.register(fd, events)
+
+
+class _Waker:
+    """Ends the wait for events when a signal comes."""
+
+    def __init__(self, reactor: EpollReactor):
+        self._reading, self._writing = socket.socketpair()
+        self._reading.setblocking(False)
+        self._writing.setblocking(False)
+        signal.set_wakeup_fd(self._writing.fileno(), warn_on_full_buffer=False)
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        return self._reading.fileno()
+
+    def doRead(self) -> None:  # noqa: N802
+        os.read(self.fileno(), 4096)
+
+    def close(self) -> None:
+        signal.set_wakeup_fd(-1)
+        self._reading.close()
+        self._writing.close()
--- /dev/null
+++ b/kumquatshift/adapters/http_pages.py
@@ -0,0 +1,135 @@
+"""A small HTTP/1.1 server for pages that the process shows of itself."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from httptools.parser.parser import HttpRequestParser
+
+RECEIVE_BYTES = 4096
+BACKLOG = 64
+
+# Checks come from a few probers; more than this is someone else.
+MAX_CONNECTIONS = 100
+
+# A prober calls twice a second; a connection that says nothing for this long
+# has been forgotten by its other end.
+IDLE_S = 30.0
+
+STATUS_TEXTS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+
+
+@dataclass(frozen=True, slots=True)
+class PageAnswer:
+    """What one page says."""
+
+    status: int
+    body: bytes = b""
+
+
+Pages = dict[bytes, Callable[[], PageAnswer]]
+
+
+class PageServer:
+    """Serves ``pages`` by path at one address."""
+
+    def __init__(self, reactor, address: tuple[str, int], pages: Pages):
+        self._reactor = reactor
+        self._pages = pages
+        self._connections: set[_Connection] = set()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        """Return the descriptor of the listening socket."""
+        return self._sock.fileno()
+
+    def doRead(self) -> None:  # noqa: N802
+        """Accept a connection."""
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return  # It was given up before it was accepted.
+        if len(self._connections) >= MAX_CONNECTIONS:
+            sock.close()
+            return
+        sock.setblocking(False)
+        self._connections.add(_Connection(self._reactor, sock, self))
+
+    def answer(self, path: bytes) -> PageAnswer:
+        """Return what a page says."""
+        page = self._pages.get(path.split(b"?")[0])
+        return page() if page is not None else PageAnswer(404)
+
+    def forget(self, conn: _Connection) -> None:
+        """Note that a connection is closed."""
+        self._connections.discard(conn)
+
+
+class _Connection:
+    """One connection of a prober."""
+
+    def __init__(self, reactor, sock: socket.socket, server: PageServer):
+        self._reactor = reactor
+        self._sock = sock
+        self._server = server
+        self._parser = HttpRequestParser(self)
+        self._path = b""
+        self._outgoing = b""
+        self._idle = reactor.callLater(IDLE_S, self._close)
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        return self._sock.fileno()
+
+    def doRead(self) -> None:  # noqa: N802
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                self._close()
+                return
+            self._parser.feed_data(data)
+        except BlockingIOError:
+            return
+        except Exception:  # A broken connection, or no HTTP: either way it ends.
+            self._close()
+
+    def doWrite(self) -> None:  # noqa: N802
+        try:
+            sent = self._sock.send(self._outgoing)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._close()
+            return
+        self._outgoing = self._outgoing[sent:]
+        if not self._outgoing:
+            self._reactor.removeWriter(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._path = url
+
+    def on_message_complete(self) -> None:
+        answer = self._server.answer(self._path)
+        text = STATUS_TEXTS.get(answer.status, "Unknown")
+        head = f"HTTP/1.1 {answer.status} {text}\r\n"
+        head += f"Content-Length: {len(answer.body)}\r\n\r\n"
+        self._outgoing += head.encode() + answer.body
+        self._idle.cancel()
+        self._idle = self._reactor.callLater(IDLE_S, self._close)
+        self._reactor.addWriter(self)
+
+    def _close(self) -> None:
+        self._idle.cancel()
+        if self._sock.fileno() < 0:
+            return
+        self._reactor.removeReader(self)
+        self._reactor.removeWriter(self)
+        self._sock.close()
+        self._server.forget(self)
--- /dev/null
+++ b/kumquatshift/direct/packets.py
@@ -0,0 +1,82 @@
+"""One packet from a caller, decoded, and what can be decided about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntFlag
+
+from .targets import LiveTarget
+
+
+class Flag(IntFlag):
+    """Marks of a packet, as in TCP."""
+
+    SYN = 1
+    ACK = 2
+    FIN = 4
+    RST = 8
+
+
+@dataclass(slots=True)
+class Packet:
+    """The header fields of a packet that decisions need.
+
+    ``flow`` tells the flow from all others; ``place`` is the address and port
+    that the caller asked for. ``cookie`` is 0 on an opening packet. ``copy``
+    counts the copies of an opening packet that were sent before this one.
+    """
+
+    flow: bytes
+    place: bytes
+    is_syn: bool
+    is_last: bool
+    has_ack: bool
+    cookie: int
+    seq: int
+    ack: int
+    size: int
+
+    @property
+    def copy(self) -> int:
+        """Which copy of the opening packet this is, 0 for the first."""
+        return self.ack if self.is_syn else 0
+
+
+class Reason(Enum):
+    """Why a packet was not forwarded, or its flow was refused or reset."""
+
+    MALFORMED = "malformed"
+    FORGED = "forged"
+    NO_ROUTE = "no_route"
+    ROUTE_UNKNOWN_YET = "route_unknown_yet"
+    NO_TARGET = "no_target"
+    UNKNOWN_COOKIE = "unknown_cookie"
+    FOREIGN_COOKIE = "foreign_cookie"
+    TARGET_GONE = "target_gone"
+    TARGET_SILENT = "target_silent"
+    NOT_READY = "not_ready"
+    SEND_FAILED = "send_failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Send the packet on to ``target``, with its cookie."""
+
+    target: LiveTarget
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """Tell the caller at once that the flow is over, or never opened."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Say nothing: the caller sends its packet again."""
+
+    reason: Reason
+
+
+Decision = Forward | Reset | Drop
--- /dev/null
+++ b/kumquatshift/direct/placement.py
@@ -0,0 +1,91 @@
+"""Choose a target for a new flow.
+
+Own failure domain first: a flow that stays in its domain outlives every cut
+between domains and costs no traffic across. It goes to another domain only when
+its own has no usable target, or has so many flows and requests in progress that
+the way to another pays. The load patterns: a domain that is cut off, evacuated
+or short of targets, and a burst beyond what a domain's targets can bear.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .suspicion import PROBE_EVERY_S, may_probe
+from .targets import LiveTarget
+from .warmup import Warmup
+
+# After the list was out of reach, targets missing from it get this long to come
+# back; the platform lists living ones again within two seconds.
+RELIST_GRACE_S = 2.3
+
+# A target that has left the list without draining, and still answers, is used
+# on for a while: leases lapse when the platform, not the target, is in trouble.
+ANSWERED_LATELY_S = 1.0
+
+# What a flow to another domain must save to be worth its way: so many flows a
+# slot. Callers of long flows rest most of the time.
+OTHER_DOMAIN_FLOWS = 40.0
+
+# A request in progress is present load, an open flow only likely load.
+WAITING_WEIGHT = 2.0
+
+
+class Placement:
+    """Chooses targets for one entry of ``domain``."""
+
+    def __init__(self, domain: str, warmup: Warmup):
+        self._domain = domain
+        self._warmup = warmup
+        self._picks = 0
+        self.evacuated: frozenset[str] = frozenset()
+        self.relisting_since = -RELIST_GRACE_S
+
+    def pick(
+        self, targets: Iterable[LiveTarget], cold_flows_per_s: float, now: float
+    ) -> LiveTarget | None:
+        """Return the target for a new flow, or None if none can take it."""
+        able = [target for target in targets if self._is_able(target, now)]
+        usable = [target for target in able if self._is_usable(target, now)]
+        # That all are suspected may be our own trouble: one of them is tried.
+        usable = usable or [target for target in able if target.suspected]
+        if not usable:
+            return None
+        chosen = min(usable, key=self._cost)
+        if chosen.is_cold(now):
+            self._warmup.note_flow(chosen, cold_flows_per_s, now)
+        if chosen.suspected:
+            chosen.next_probe = now + PROBE_EVERY_S
+        self._picks += 1
+        chosen.last_picked = self._picks
+        return chosen
+
+    def is_present(self, target: LiveTarget, now: float) -> bool:
+        """Tell whether a target is there, as far as this entry can know."""
+        if target.listed:
+            return True
+        if target.draining or now - target.unlisted_at > RELIST_GRACE_S:
+            return False
+        if self.is_relisting(now):
+            return not target.suspected
+        return now - target.progress_at < ANSWERED_LATELY_S
+
+    def is_relisting(self, now: float) -> bool:
+        """Tell whether the list was out of reach until a moment ago."""
+        return now - self.relisting_since < RELIST_GRACE_S
+
+    def _is_able(self, target: LiveTarget, now: float) -> bool:
+        if target.draining or target.domain in self.evacuated:
+            return False
+        return self.is_present(target, now) and target.flows < target.max_flows
+
+    def _is_usable(self, target: LiveTarget, now: float) -> bool:
+        if target.is_cold(now) and not self._warmup.admits(target, now):
+            return False
+        return not target.suspected or may_probe(target, now)
+
+    def _cost(self, target: LiveTarget):
+        load = (target.flows + WAITING_WEIGHT * target.waiting) / target.slots
+        if target.domain != self._domain:
+            load += OTHER_DOMAIN_FLOWS
+        return load, target.last_picked
--- /dev/null
+++ b/kumquatshift/direct/settings.py
@@ -0,0 +1,161 @@
+"""Settings of an entry with direct return, read from one INI file.
+
+The file is read when the process starts and whenever it has changed. Reading
+imports little, since an entry that starts after a power loss is waited for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from configparser import ConfigParser, Error
+from dataclasses import dataclass
+
+from .warmup import WarmupBounds
+
+MAX_PORT = 65_535
+
+
+class SettingsError(Exception):
+    """The file can not be used; ``problems`` names every mistake in it."""
+
+    def __init__(self, problems: list[str]):
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Within which times a change has to be in force; all in seconds."""
+
+    stable_window_s: float
+    drain_s: float
+    config_s: float
+    evacuate_s: float
+    stop_s: float
+    warmup: WarmupBounds
+
+
+@dataclass(frozen=True)
+class DirectSettings:
+    """Everything that an entry is told from outside."""
+
+    name: str
+    domain: str
+    packets: Address
+    readiness: Address
+    peer_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    store: Address
+    heartbeat_s: float
+    bounds: Bounds
+
+    @classmethod
+    def load(cls, path: str) -> DirectSettings:
+        """Read the file at ``path``.
+
+        Raises `SettingsError` with all mistakes if it can not be used.
+        """
+        parser = ConfigParser(interpolation=None)
+        try:
+            with open(path, encoding="utf-8") as file:
+                parser.read_file(file)
+        except (OSError, UnicodeDecodeError, Error) as exc:
+            raise SettingsError([f"{path}: {exc}"]) from exc
+        return cls.from_parser(parser)
+
+    @classmethod
+    def from_parser(cls, parser: ConfigParser) -> DirectSettings:
+        """Take the settings from sections that were read already."""
+        reader = _Reader(parser)
+        settings = cls(
+            name=reader.read("entry", "name", _text),
+            domain=reader.read("entry", "domain", _text),
+            packets=reader.read("entry", "packet_address", _address),
+            readiness=reader.read("entry", "ready_address", _address),
+            peer_ports=reader.read("entry", "peer_ports", _ports),
+            seeds=reader.read("entry", "seeds", _addresses),
+            store=reader.read("store", "address", _address),
+            heartbeat_s=reader.read("store", "heartbeat_ms", _seconds),
+            bounds=Bounds(
+                stable_window_s=reader.read("bounds", "stable_window_ms", _seconds),
+                drain_s=reader.read("bounds", "drain_ms", _seconds),
+                config_s=reader.read("bounds", "config_ms", _seconds),
+                evacuate_s=reader.read("bounds", "evacuate_ms", _seconds),
+                stop_s=reader.read("bounds", "stop_s", _number),
+                warmup=WarmupBounds(
+                    reader.read("bounds", "warmup_burst_factor", _number),
+                    reader.read("bounds", "warmup_slack", _number),
+                ),
+            ),
+        )
+        if reader.problems:
+            raise SettingsError(reader.problems)
+        return settings
+
+
+class _Reader:
+    """Reads single keys, and gathers what is wrong with them."""
+
+    def __init__(self, parser: ConfigParser):
+        self.problems: list[str] = []
+        self._parser = parser
+
+    def read(self, section: str, key: str, convert: Callable):
+        text = self._parser.get(section, key, fallback=None)
+        if text is None:
+            self.problems.append(f"[{section}] {key}: missing; add it")
+            return None
+        try:
+            return convert(text)
+        except ValueError as exc:
+            self.problems.append(f"[{section}] {key}: found {text!r}; allowed: {exc}")
+            return None
+
+
+def _text(text: str) -> str:
+    if not text:
+        raise ValueError("a name")
+    return text
+
+
+def _number(text: str) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise ValueError("a number from 0 up")
+    return number
+
+
+def _seconds(text: str) -> float:
+    """Read milliseconds."""
+    return _number(text) / 1000
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    numbers = host.split(".")
+    if len(numbers) != 4 or not all(n.isdecimal() and int(n) < 256 for n in numbers):
+        raise ValueError("an IPv4 address and a port, such as 10.1.0.10:8172")
+    return host, _port(port)
+
+
+def _addresses(text: str) -> tuple[Address, ...]:
+    return tuple(_address(each.strip()) for each in text.split(",") if each.strip())
+
+
+def _port(text: str) -> int:
+    if not text.isdecimal() or not 0 < int(text) <= MAX_PORT:
+        raise ValueError(f"a port from 1 to {MAX_PORT}")
+    return int(text)
+
+
+def _ports(text: str) -> tuple[int, int]:
+    ports = [_port(each.strip()) for each in text.split(",")]
+    if len(ports) != 2 or ports[0] > ports[1]:
+        raise ValueError("the first and the last port of a range, such as 7720,7735")
+    return ports[0], ports[1]
--- /dev/null
+++ b/kumquatshift/direct/site.py
@@ -0,0 +1,120 @@
+"""What an entry knows of its site: routes, targets and evacuated domains.
+
+News comes from the platform's store or from peers, in any order; what is in
+force never goes back to something older.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .events import Event
+from .placement import Placement
+from .routes import Configuration, RouteTable
+from .targets import LiveTarget, Report, TargetTable
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from .events import Events
+
+
+class Site:
+    """The state that decisions about flows go by."""
+
+    def __init__(self, placement: Placement, events: Events):
+        self.routes = RouteTable()
+        self.targets = TargetTable()
+        self.placement = placement
+        self._events = events
+        self._has_configuration = False
+        self._has_targets = False
+        self._has_evacuations = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether everything that decisions need has been learnt once."""
+        known = self._has_configuration and self._has_targets
+        return known and self._has_evacuations
+
+    def put_configuration(self, cfg: Configuration, source: str) -> None:
+        """Put a configuration in force, unless it is not newer."""
+        self._has_configuration = True
+        if self.routes.put(cfg):
+            self._events.emit(
+                Event.CONFIG_IN_FORCE,
+                version=cfg.version,
+                routes=len(cfg.routes),
+                source=source,
+            )
+
+    def list_targets(
+        self, reports: Iterable[Report], unreadable: Iterable[str], now: float
+    ) -> None:
+        """Take in the whole list; those missing from it have left."""
+        self._has_targets = True
+        names = set(unreadable)
+        for report in reports:
+            names.add(report.target.name)
+            self.put_target(report, now)
+        for target in self.targets.retain(names, now):
+            self._tell_gone(target, now)
+
+    def put_target(self, report: Report, now: float) -> None:
+        """Take in what one target says of itself."""
+        known = self.targets.get(report.target.name)
+        was_draining = known is not None and known.draining
+        target = self.targets.put(report, now)
+        if target is not known:
+            self._events.emit(
+                Event.TARGET_LISTED,
+                target=target.name,
+                service=target.service,
+                domain=target.domain,
+                incarnation=target.incarnation,
+                cold_s=report.warms_for_s,
+            )
+        if target.draining and not was_draining:
+            self._events.emit(
+                Event.TARGET_DRAINING, target=target.name, flows=target.flows
+            )
+
+    def remove_target(self, name: str, now: float) -> None:
+        """Take a target off the list."""
+        target = self.targets.remove(name, now)
+        if target is not None:
+            self._tell_gone(target, now)
+
+    def list_evacuations(self, domains: Iterable[str]) -> None:
+        """Take in the whole list of domains that get nothing new."""
+        self._has_evacuations = True
+        domains = frozenset(domains)
+        for domain in domains - self.placement.evacuated:
+            self._events.emit(Event.DOMAIN_EVACUATED, domain=domain)
+        for domain in self.placement.evacuated - domains:
+            self._events.emit(Event.DOMAIN_RETURNED, domain=domain)
+        self.placement.evacuated = domains
+
+    def evacuate(self, domain: str) -> None:
+        """Send nothing new to a domain."""
+        self.list_evacuations(self.placement.evacuated | {domain})
+
+    def take_back(self, domain: str) -> None:
+        """Use a domain again."""
+        self.list_evacuations(self.placement.evacuated - {domain})
+
+    def note_relisting(self, now: float) -> None:
+        """Note that the list of targets was out of reach until now.
+
+        Living targets may be missing from it until they have reported again.
+        """
+        self.placement.relisting_since = now
+
+    def _tell_gone(self, target: LiveTarget, now: float) -> None:
+        self._events.emit(
+            Event.TARGET_GONE,
+            target=target.name,
+            flows=target.flows,
+            was_draining=target.draining,
+            answered_s_ago=round(now - target.progress_at, 3),
+            kept_on=self.placement.is_present(target, now),
+        )
--- /dev/null
+++ b/kumquatshift/direct/steering.py
@@ -0,0 +1,207 @@
+"""Decide for each packet of a caller where it goes.
+
+An opening packet gets a target by its route; every other packet carries the
+cookie of its flow's target. Entries need no record of each other's flows::
+
+    decision = steering.decide(packet, reactor.seconds())
+"""
+
+from __future__ import annotations
+
+from .events import Event
+from .flows import Flow, FlowTable
+from .packets import Decision, Drop, Forward, Packet, Reason, Reset
+from .placement import Placement
+from .routes import Route, RouteTable, share_of
+from .suspicion import Suspicion
+from .targets import LiveTarget, TargetTable
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from .events import Events
+
+SEQUENCE_MASK = 0xFFFFFFFF
+HALF_SEQUENCE = 1 << 31
+
+# A copy of an opening packet is placed elsewhere from the second on (600 ms):
+# one lost packet is common, two in a row are not.
+REPLACING_COPY = 2
+
+# A flow seen within this time stays where it is, whatever cookie its packets
+# carry: after a late second answer to an opening packet they name the wrong one.
+STICKS_FOR_S = 2.0
+
+
+class Steering:
+    """Decisions of one entry about packets from callers."""
+
+    def __init__(
+        self,
+        routes: RouteTable,
+        targets: TargetTable,
+        placement: Placement,
+        events: Events,
+    ):
+        self.flows = FlowTable()
+        self.knows_all_routes = False
+        self._routes = routes
+        self._targets = targets
+        self._placement = placement
+        self._suspicion = Suspicion(events)
+        self._events = events
+
+    def decide(self, packet: Packet, now: float) -> Decision:
+        """Return what is to be done with a packet."""
+        route = self._routes.get(packet.place)
+        if route is None:
+            return self._without_route(packet)
+        if packet.is_syn:
+            if packet.has_ack:
+                return Drop(Reason.FORGED)
+            return self._opening(packet, route, now)
+        return self._later(packet, now)
+
+    def expire(self, now: float) -> None:
+        """Forget what is over; to be called about once a second."""
+        self.flows.expire(now, self._routes.idle_timeout_s)
+        self._targets.forget(now)
+
+    def _without_route(self, packet: Packet) -> Decision:
+        if not self.knows_all_routes:
+            return Drop(Reason.ROUTE_UNKNOWN_YET)
+        self.flows.remove(packet.flow)
+        return Reset(Reason.NO_ROUTE)
+
+    # Opening packets
+
+    def _opening(self, packet: Packet, route: Route, now: float) -> Decision:
+        flow = self.flows.get(packet.flow)
+        if flow is None:
+            return self._open(packet, route, now)
+        if packet.copy == 0 and flow.is_open:
+            # The caller uses an old port again.
+            self.flows.remove(packet.flow)
+            return self._open(packet, route, now)
+        if packet.copy and not flow.is_open:
+            return self._open_again(packet, route, flow, now)
+        flow.sent_at = flow.seen_at = now
+        return Forward(flow.target)
+
+    def _open(self, packet: Packet, route: Route, now: float) -> Decision:
+        target = self._pick(packet, route, now)
+        if target is None:
+            return Reset(Reason.NO_TARGET)
+        self.flows.add(packet.flow, target, now)
+        self._events.emit(
+            Event.FLOW_OPENED,
+            flow=packet.flow,
+            route=route.name,
+            target=target.name,
+            domain=target.domain,
+            flows=target.flows,
+            waiting=target.waiting,
+            copy=packet.copy,
+        )
+        return Forward(target)
+
+    def _open_again(
+        self, packet: Packet, route: Route, flow: Flow, now: float
+    ) -> Decision:
+        self._suspicion.note_repeat(flow, now)
+        flow.sent_at = flow.seen_at = now
+        if packet.copy < REPLACING_COPY and not flow.target.suspected:
+            return Forward(flow.target)
+        target = self._pick(packet, route, now)
+        if target is None:
+            self.flows.remove(packet.flow)
+            return Reset(Reason.NO_TARGET)
+        if target is not flow.target:
+            self._events.emit(
+                Event.FLOW_REPLACED,
+                flow=packet.flow,
+                silent=flow.target.name,
+                target=target.name,
+                copy=packet.copy,
+            )
+            self.flows.move(flow, target)
+            flow.repeats = 0
+            flow.complained = False
+        return Forward(target)
+
+    def _pick(self, packet: Packet, route: Route, now: float) -> LiveTarget | None:
+        service = share_of(route, packet.flow)
+        candidates = self._targets.of_service(service)
+        per_s = self._routes.cold_flows_per_s(service)
+        return self._placement.pick(candidates, per_s, now)
+
+    # Packets of open flows
+
+    def _later(self, packet: Packet, now: float) -> Decision:
+        flow = self.flows.get(packet.flow)
+        if flow is None or not self._sticks(flow, packet, now):
+            target = self._targets.by_cookie(packet.cookie)
+            if target is None:
+                return self._unknown_cookie(packet, flow)
+            if not self._routes.ever_allowed(packet.place, target.service):
+                return Drop(Reason.FOREIGN_COOKIE)
+            if flow is None:
+                flow = self.flows.add(packet.flow, target, now)
+                flow.is_open = True
+            elif flow.target is not target:
+                self.flows.move(flow, target)
+        self._note_packet(flow, packet, now)
+        if flow.repeats and self._suspicion.gives_up(flow, now):
+            return self._give_up(packet, flow, now)
+        flow.sent_at = flow.seen_at = now
+        flow.is_closing = flow.is_closing or packet.is_last
+        return Forward(flow.target)
+
+    def _sticks(self, flow: Flow, packet: Packet, now: float) -> bool:
+        if packet.cookie == flow.target.cookie:
+            return True
+        return flow.is_open and now - flow.seen_at < STICKS_FOR_S
+
+    def _unknown_cookie(self, packet: Packet, flow: Flow | None) -> Decision:
+        return Drop(Reason.UNKNOWN_COOKIE)
+
+    def _note_packet(self, flow: Flow, packet: Packet, now: float) -> None:
+        """Learn from a packet whether the flow's target answers."""
+        first = not flow.is_open
+        flow.is_open = True
+        known = flow.acked >= 0
+        moved = known and _is_after(packet.ack, flow.acked)
+        if first or moved or (known and not packet.size and not packet.is_last):
+            self._suspicion.note_progress(flow, now)
+            if flow.waiting:
+                flow.waiting = False
+                flow.target.waiting -= 1
+        if moved or not known:
+            flow.acked = packet.ack
+        if not packet.size:
+            return
+        end = (packet.seq + packet.size) & SEQUENCE_MASK
+        if flow.top < 0 or _is_after(end, flow.top):
+            flow.top = end
+            if not flow.waiting:
+                flow.waiting = True
+                flow.target.waiting += 1
+        elif not moved:
+            self._suspicion.note_repeat(flow, now)
+
+    def _give_up(self, packet: Packet, flow: Flow, now: float) -> Decision:
+        target = flow.target
+        self._events.emit(
+            Event.FLOW_RESET,
+            flow=packet.flow,
+            reason=Reason.TARGET_SILENT.value,
+            target=target.name,
+            repeats=flow.repeats,
+            silent_s=round(now - target.progress_at, 3),
+        )
+        self.flows.remove(packet.flow)
+        return Reset(Reason.TARGET_SILENT)
+
+
+def _is_after(number: int, other: int) -> bool:
+    """Compare sequence numbers, which wrap around at 32 bits (RFC 9293, 3.4)."""
+    return 0 < (number - other) & SEQUENCE_MASK < HALF_SEQUENCE
--- /dev/null
+++ b/kumquatshift/direct/targets.py
@@ -0,0 +1,186 @@
+"""The targets that an entry knows, by name, by service and by cookie."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from ..engine.objects import Target, TargetState
+
+COOKIE_BITS = 32
+
+# Targets that have left the list keep their cookies this long, so that their
+# open flows can still be told: flows may live for a minute, and stay idle
+# for some more.
+REMEMBER_GONE_S = 90.0
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What one start of a target says of itself.
+
+    ``incarnation`` tells this start from earlier ones of the same name;
+    ``key`` are the bytes that address exactly this target in a datagram, and
+    ``warms_for_s`` is how much longer it stays cold.
+    """
+
+    target: Target
+    key: bytes
+    incarnation: int
+    warms_for_s: float = 0.0
+
+
+class LiveTarget:
+    """One start of a target, and what this entry has seen of it.
+
+    ``progress_at`` is when a packet last proved that the target answers;
+    ``complaints`` counts flows that have sent again in vain since then.
+    """
+
+    __slots__ = (
+        "address",
+        "cold_until",
+        "complaints",
+        "cookie",
+        "domain",
+        "draining",
+        "flows",
+        "incarnation",
+        "key",
+        "last_picked",
+        "listed",
+        "max_flows",
+        "name",
+        "next_cold_flow",
+        "next_probe",
+        "progress_at",
+        "service",
+        "silent_since",
+        "slots",
+        "suspected",
+        "unlisted_at",
+        "waiting",
+    )
+
+    def __init__(self, report: Report, now: float):
+        self.name = report.target.name
+        self.key = report.key
+        self.incarnation = report.incarnation
+        self.cookie = cookie_of(report)
+        self.flows = 0
+        self.waiting = 0
+        self.complaints = 0
+        self.progress_at = now
+        self.silent_since = now
+        self.suspected = False
+        self.last_picked = 0
+        self.next_cold_flow = now
+        self.next_probe = now
+        self.cold_until = now
+        self.update(report, now)
+
+    def update(self, report: Report, now: float) -> None:
+        """Take in a newer report of the same start."""
+        target = report.target
+        self.address = (target.host, target.port)
+        self.service = target.service
+        self.domain = target.domain
+        self.slots = target.slots
+        self.max_flows = target.connections
+        self.draining = target.state is TargetState.RETIRED
+        self.cold_until = now + report.warms_for_s
+        self.listed = True
+        self.unlisted_at = now
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target still warms up after its start."""
+        return now < self.cold_until
+
+
+def cookie_of(report: Report) -> int:
+    """Return the cookie of one start of a target; never 0, which means none.
+
+    All entries work out the same cookie, and a new start under an old name
+    gets another one.
+    """
+    text = f"{report.target.name}/{report.incarnation}".encode()
+    return xxhash.xxh32_intdigest(text) or 1
+
+
+class TargetTable:
+    """All targets that are listed, and those that were until a while ago."""
+
+    def __init__(self):
+        self._listed: dict[str, LiveTarget] = {}
+        self._by_cookie: dict[int, LiveTarget] = {}
+        self._by_service: dict[str, tuple[LiveTarget, ...]] = {}
+        self._services_stale = False
+
+    def __len__(self) -> int:
+        return len(self._listed)
+
+    def __iter__(self) -> Iterator[LiveTarget]:
+        return iter(self._listed.values())
+
+    def get(self, name: str) -> LiveTarget | None:
+        """Return the listed target of this name, or None."""
+        return self._listed.get(name)
+
+    def by_cookie(self, cookie: int) -> LiveTarget | None:
+        """Return the target that a cookie names, listed or remembered."""
+        return self._by_cookie.get(cookie)
+
+    def of_service(self, service: str) -> tuple[LiveTarget, ...]:
+        """Return the targets of a service, with those remembered as gone."""
+        if self._services_stale:
+            self._index_services()
+        return self._by_service.get(service, ())
+
+    def put(self, report: Report, now: float) -> LiveTarget:
+        """Take in what a target says of itself; return its state here."""
+        cookie = cookie_of(report)
+        known = self._by_cookie.get(cookie)
+        if known is not None and known.name == report.target.name:
+            known.update(report, now)
+        else:
+            known = LiveTarget(report, now)
+            self._by_cookie[cookie] = known
+        earlier = self._listed.get(known.name)
+        if earlier is not None and earlier is not known:
+            self._unlist(earlier, now)
+        self._listed[known.name] = known
+        self._services_stale = True
+        return known
+
+    def remove(self, name: str, now: float) -> LiveTarget | None:
+        """Take a target off the list; its cookie is remembered for a while."""
+        target = self._listed.pop(name, None)
+        if target is not None:
+            self._unlist(target, now)
+        return target
+
+    def retain(self, names: Iterable[str], now: float) -> list[LiveTarget]:
+        """Remove all targets but these; return those removed."""
+        gone = self._listed.keys() - set(names)
+        return [self.remove(name, now) for name in gone]
+
+    def forget(self, now: float) -> None:
+        """Drop the cookies of targets that have been gone for long."""
+        for target in list(self._by_cookie.values()):
+            if not target.listed and now - target.unlisted_at > REMEMBER_GONE_S:
+                del self._by_cookie[target.cookie]
+                self._services_stale = True
+
+    def _unlist(self, target: LiveTarget, now: float) -> None:
+        target.listed = False
+        target.unlisted_at = now
+        self._services_stale = True
+
+    def _index_services(self) -> None:
+        services: dict[str, list[LiveTarget]] = {}
+        for target in self._by_cookie.values():
+            services.setdefault(target.service, []).append(target)
+        self._by_service = {name: tuple(each) for name, each in services.items()}
+        self._services_stale = False
--- /dev/null
+++ b/kumquatshift/platform/entry.py
@@ -0,0 +1,234 @@
+"""The entry as it runs on the users' platform: everything put together."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+
+from ..adapters.epoll import EpollReactor
+from ..adapters.http_pages import PageAnswer, PageServer
+from ..direct.events import Event
+from ..direct.feed import Change, Feed, Item
+from ..direct.lifecycle import Lifecycle
+from ..direct.placement import Placement
+from ..direct.settings import DirectSettings, SettingsError
+from ..direct.site import Site
+from ..direct.steering import Steering
+from ..direct.warmup import Warmup
+from ..eventlog import EventLog
+from . import objects
+from .packets import flow_text
+from .port import PacketPort
+from .store import StoreReader
+
+READY_PATH = b"/api/ready"
+SWEEP_S = 1.0
+STOP_CHECK_S = 0.1
+
+# Less than the shortest bound on a change, so that a watch which has gone
+# silent is noticed in time.
+WATCH_MARGIN_S = 2.0
+
+
+class Entry:
+    """One entry, from its settings to its sockets."""
+
+    def __init__(self, settings: DirectSettings, settings_path: str, reactor):
+        self._settings = settings
+        self._settings_path = settings_path
+        self._settings_stamp = _stamp(settings_path)
+        self._reactor = reactor
+        self._log = EventLog(reactor, settings.name, flow_text)
+        bounds = settings.bounds
+        warmup = Warmup(bounds.warmup, settings.domain)
+        placement = Placement(settings.domain, warmup)
+        self._site = Site(placement, self._log)
+        self._steering = Steering(
+            self._site.routes, self._site.targets, placement, self._log
+        )
+        self._lifecycle = Lifecycle(bounds.stop_s)
+        self._was_ready = False
+        self._readers: list[StoreReader] = []
+        self._feeds: dict[str, Feed] = {}
+        self._port = None
+
+    def start(self) -> None:
+        """Open all ports and begin to read the store."""
+        self._port = PacketPort(
+            self._reactor, self._settings.packets, self._steering
+        )
+        pages = {READY_PATH: self._ready_page}
+        PageServer(self._reactor, self._settings.readiness, pages)
+        self._read_store()
+        self._reactor.on_signal(signal.SIGTERM, self._stop)
+        self._reactor.on_signal(signal.SIGINT, self._stop)
+        self._reactor.on_signal(signal.SIGHUP, self._reload)
+        self._reactor.callLater(SWEEP_S, self._sweep)
+        self._log.emit(Event.STARTED, domain=self._settings.domain)
+
+    def _read_store(self) -> None:
+        bounds = self._settings.bounds
+        shortest_s = min(bounds.drain_s, bounds.config_s, bounds.evacuate_s)
+        watch_s = bounds.stable_window_s + shortest_s - WATCH_MARGIN_S
+        takers = {
+            objects.CONFIGURATIONS: ConfigurationTaker(self._site, self._log),
+            objects.TARGETS: TargetTaker(self._site, self._log),
+            objects.EVACUATIONS: EvacuationTaker(self._site),
+        }
+        for kind, taker in takers.items():
+            feed = Feed(kind, watch_s, taker, self._log)
+            self._feeds[kind] = feed
+            reader = StoreReader(self._reactor, self._settings.store, feed)
+            self._readers.append(reader)
+            reader.start()
+
+    def _ready_page(self) -> PageAnswer:
+        ready = self._site.is_known and not self._lifecycle.is_stopping
+        if ready != self._was_ready:
+            self._was_ready = ready
+            self._log.emit(Event.READY if ready else Event.UNREADY)
+        return PageAnswer(200 if ready else 503)
+
+    def _sweep(self) -> None:
+        self._reactor.callLater(SWEEP_S, self._sweep)
+        config = self._feeds[objects.CONFIGURATIONS]
+        self._steering.knows_all_routes = config.is_current
+        self._steering.expire(self._reactor.seconds())
+        self._log.flush()
+        if _stamp(self._settings_path) != self._settings_stamp:
+            self._reload()
+
+    def _reload(self) -> None:
+        self._settings_stamp = _stamp(self._settings_path)
+        try:
+            settings = DirectSettings.load(self._settings_path)
+        except SettingsError as exc:
+            self._log.emit(Event.SETTINGS_REJECTED, problems=exc.problems)
+            return
+        changed = settings != self._settings
+        self._log.emit(Event.SETTINGS_RELOADED, changed=changed)
+        if settings.store != self._settings.store:
+            self._settings = settings
+            for reader in self._readers:
+                reader.stop()
+            self._readers = []
+            self._read_store()
+        self._settings = settings
+
+    def _stop(self) -> None:
+        if not self._lifecycle.is_stopping:
+            self._log.emit(Event.STOPPING, flows=len(self._steering.flows))
+            self._lifecycle.begin_stop(self._reactor.seconds())
+            self._check_stop()
+
+    def _check_stop(self) -> None:
+        now = self._reactor.seconds()
+        if self._lifecycle.may_end(self._port.last_packet_at, now):
+            self._log.emit(Event.STOPPED, packets=self._port.packets)
+            self._reactor.stop()
+            return
+        self._reactor.callLater(STOP_CHECK_S, self._check_stop)
+
+
+class ConfigurationTaker:
+    """Hands configurations from the store to the site."""
+
+    def __init__(self, site: Site, log: EventLog):
+        self._site = site
+        self._log = log
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in the configuration, if there is one already."""
+        for item in items:
+            self._take(item)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in a new configuration."""
+        if not change.is_deleted:
+            self._take(change.item)
+
+    def _take(self, item: Item) -> None:
+        if item.name != objects.CONFIGURATION_NAME:
+            return
+        try:
+            cfg = objects.configuration_from(item.value)
+        except objects.Unreadable as exc:
+            self._log.emit(Event.CONFIG_REJECTED, problem=str(exc))
+            return
+        self._site.put_configuration(cfg, "store")
+
+
+class TargetTaker:
+    """Hands what targets say of themselves to the site."""
+
+    def __init__(self, site: Site, log: EventLog):
+        self._site = site
+        self._log = log
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in all targets; entries that can not be read name none."""
+        if after_loss:
+            self._site.note_relisting(now)
+        reports = [self._report(item) for item in items]
+        self._site.list_targets([r for r in reports if r is not None], (), now)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in what one target says, or that it has left."""
+        report = None if change.is_deleted else self._report(change.item)
+        if report is None:
+            self._site.remove_target(change.item.name, now)
+        else:
+            self._site.put_target(report, now)
+
+    def _report(self, item: Item):
+        try:
+            return objects.report_from(item.name, item.value)
+        except objects.Unreadable as exc:
+            self._log.emit(Event.OBJECT_UNREADABLE, problem=str(exc))
+            return None
+
+
+class EvacuationTaker:
+    """Hands evacuated domains to the site."""
+
+    def __init__(self, site: Site):
+        self._site = site
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in all evacuated domains."""
+        self._site.list_evacuations(item.name for item in items)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in that a domain is evacuated, or taken back."""
+        if change.is_deleted:
+            self._site.take_back(change.item.name)
+        else:
+            self._site.evacuate(change.item.name)
+
+
+def main(settings_path: str) -> int:
+    """Run an entry until it is told to stop; return its exit status."""
+    # Start-up allocates much that stays; collecting it again is lost time.
+    gc.disable()
+    try:
+        settings = DirectSettings.load(settings_path)
+    except SettingsError as exc:
+        for problem in exc.problems:
+            os.write(2, f"{settings_path}: {problem}\n".encode())
+        return 3
+    reactor = EpollReactor()
+    Entry(settings, settings_path, reactor).start()
+    gc.freeze()
+    gc.enable()
+    reactor.run()
+    return 0
+
+
+def _stamp(path: str) -> tuple[float, int]:
+    """Return what tells one state of a file from another."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return 0.0, 0
+    return status.st_mtime, status.st_size
--- /dev/null
+++ b/kumquatshift/platform/objects.py
@@ -0,0 +1,119 @@
+"""The store's objects, decoded into the product's types."""
+
+from __future__ import annotations
+
+import json
+import socket
+
+from ..direct.feed import Change, Changes, Item, Page
+from ..direct.routes import Configuration, Route, ServiceWarmth, Share
+from ..direct.targets import Report
+from ..engine.objects import Target, TargetState
+from .packets import place_of
+
+CONFIGURATIONS = "config"
+TARGETS = "servers"
+EVACUATIONS = "evacuations"
+
+# The one object of its kind that is the configuration.
+CONFIGURATION_NAME = "main"
+
+TARGET_STATES = {"ready": TargetState.ADMITTED, "draining": TargetState.RETIRED}
+
+
+class Unreadable(ValueError):
+    """An object or an answer is not what the platform's pages say."""
+
+
+def page_from(body: bytes) -> Page:
+    """Decode a page of a list; raises `Unreadable`."""
+    try:
+        answer = json.loads(body)
+        items = tuple(_item(each) for each in answer["items"])
+        return Page(items, bool(answer.get("more")), int(answer["currentRev"]))
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise Unreadable(f"a list: {exc!r}") from exc
+
+
+def changes_from(body: bytes) -> Changes:
+    """Decode what a watch brought; raises `Unreadable`."""
+    try:
+        answer = json.loads(body)
+        changes = tuple(
+            Change(_item(each["object"]), bool(each["deleted"]))
+            for each in answer["events"]
+        )
+        return Changes(changes, int(answer["currentRev"]))
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        raise Unreadable(f"changes: {exc!r}") from exc
+
+
+def configuration_from(spec: object) -> Configuration:
+    """Decode a whole configuration; raises `Unreadable`."""
+    try:
+        return Configuration(
+            version=int(spec["version"]),
+            routes=tuple(_route(each) for each in spec["routes"]),
+            idle_timeout_s=float(spec["limits"]["idleTimeoutMs"]) / 1000,
+            warmth=tuple(_warmth(each) for each in spec.get("services", ())),
+        )
+    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
+        raise Unreadable(f"a configuration: {exc!r}") from exc
+
+
+def report_from(name: str, spec: object) -> Report:
+    """Decode what a target says of itself; raises `Unreadable`."""
+    try:
+        host, _, port = spec["address"].rpartition(":")
+        socket.inet_aton(host)
+        state = TARGET_STATES[spec["state"]]
+        target = Target(
+            name=name,
+            service=_text(spec["service"]),
+            domain=_text(spec["zone"]),
+            host=host,
+            port=_within(int(port), 1, 65_535),
+            slots=_within(spec["maxConcurrency"], 1, 1_000_000),
+            state=state,
+        )
+        born_ms = spec.get("born", 0)
+        # How much longer it is slow, not how long it has been warm.
+        warms_for_ms = _within(spec.get("warmupLeftMs", 0), 0, 3_600_000)
+        key = int(name.rpartition("-")[2], 16).to_bytes(8, "big")
+        return Report(target, key, _within(born_ms, 0, 1 << 63), warms_for_ms / 1000)
+    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
+        raise Unreadable(f"target {name!r}: {exc!r}") from exc
+    except OverflowError as exc:
+        raise Unreadable(f"target {name!r}: its name is too long") from exc
+
+
+def _item(wire: dict) -> Item:
+    meta = wire["meta"]
+    return Item(_text(meta["name"]), int(meta["revision"]), wire.get("spec"))
+
+
+def _route(wire: dict) -> Route:
+    # The path prefix holds no path but the port, between slashes.
+    port = int(wire["pathPrefix"].strip("/"))
+    split = wire.get("trafficSplit") or [{"service": wire["service"], "weight": 1}]
+    shares = tuple(Share(_text(s["service"]), float(s["weight"])) for s in split)
+    place = place_of(wire["host"], port)
+    return Route(str(wire["name"]), place, shares, int(wire.get("priority", 0)))
+
+
+def _warmth(wire: dict) -> ServiceWarmth:
+    return ServiceWarmth(_text(wire["name"]), float(wire.get("warmupPerS", 0)))
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no name")
+    return value
+
+
+def _within(value: object, low: int, high: int) -> int:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{value!r} is no number")
+    if not low <= value <= high:
+        raise ValueError(f"{value!r} is not from {low} to {high}")
+    return value
--- /dev/null
+++ b/kumquatshift/platform/port.py
@@ -0,0 +1,75 @@
+"""The port on which the platform's routers hand over callers' packets."""
+
+from __future__ import annotations
+
+import socket
+
+from ..direct.packets import Drop, Forward, Reason, Reset
+from ..direct.steering import Steering
+from .packets import MAX_DATA_BYTES, caller_host, decode, forwarded, reset
+
+RECEIVE_BYTES = MAX_DATA_BYTES + 256
+
+# Packets taken before other work gets its turn: a few milliseconds of them.
+BATCH_PACKETS = 64
+
+# A restart or a pause of the process must not lose what came meanwhile.
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+class PacketPort:
+    """Takes packets, asks `Steering` about each, and carries its answer out."""
+
+    def __init__(self, reactor, address: tuple[str, int], steering: Steering):
+        self.last_packet_at = reactor.seconds()
+        self.packets = 0
+        self.resets = 0
+        self.drops = dict.fromkeys(Reason, 0)
+        self._reactor = reactor
+        self._steering = steering
+        self._callers_port = address[1]
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        """Return the descriptor of the socket."""
+        return self._sock.fileno()
+
+    def doRead(self) -> None:  # noqa: N802
+        """Take the packets that wait, a batch at most."""
+        now = self._reactor.seconds()
+        for _ in range(BATCH_PACKETS):
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            self._handle(data, now)
+
+    def _handle(self, data: bytes, now: float) -> None:
+        self.packets += 1
+        self.last_packet_at = now
+        packet = decode(data)
+        if packet is None:
+            self.drops[Reason.MALFORMED] += 1
+            return
+        decision = self._steering.decide(packet, now)
+        if isinstance(decision, Forward):
+            target = decision.target
+            self._send(forwarded(data, target.key, target.cookie), target.address)
+        elif isinstance(decision, Reset):
+            self.resets += 1
+            place = (caller_host(packet.flow), self._callers_port)
+            self._send(reset(packet.flow, packet.ack), place)
+        elif isinstance(decision, Drop):
+            self.drops[decision.reason] += 1
+
+    def _send(self, data: bytes, place: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, place)
+        except OSError:
+            # The link is full or down: like a packet lost on it, the sender
+            # sends again.
+            self.drops[Reason.SEND_FAILED] += 1
