--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -134,6 +134,13 @@
         self._lost_at: float | None = None
         self._revisions: dict[str, int] = {}
 
+    def is_complete(self, now: float) -> bool:
+        """Tell whether a change that happened a moment ago would be known.
+
+        That is so while a watch is open, not while a batch gathers.
+        """
+        return self.is_current and now - self._not_before > BATCH_S
+
     def wait_s(self, now: float) -> float:
         """Return how long to wait before the next call."""
         return max(0.0, self._not_before - now)
--- a/kumquatshift/direct/packets.py
+++ b/kumquatshift/direct/packets.py
@@ -51,7 +51,6 @@
     ROUTE_UNKNOWN_YET = "route_unknown_yet"
     NO_TARGET = "no_target"
     UNKNOWN_COOKIE = "unknown_cookie"
-    FOREIGN_COOKIE = "foreign_cookie"
     TARGET_GONE = "target_gone"
     TARGET_SILENT = "target_silent"
     NOT_READY = "not_ready"
--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -70,6 +70,16 @@
             return not target.suspected
         return now - target.progress_at < ANSWERED_LATELY_S
 
+    def is_gone(self, target: LiveTarget, now: float) -> bool:
+        """Tell whether a target has ended, so that its open flows are lost.
+
+        Leases lapse in the platform's troubles; a target that has answered
+        since it was taken off the list lives.
+        """
+        if target.listed or self.is_relisting(now):
+            return False
+        return target.progress_at < target.unlisted_at
+
     def is_relisting(self, now: float) -> bool:
         """Tell whether the list was out of reach until a moment ago."""
         return now - self.relisting_since < RELIST_GRACE_S
--- a/kumquatshift/direct/routes.py
+++ b/kumquatshift/direct/routes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -54,7 +53,6 @@
         self.version = -1
         self.idle_timeout_s = 60.0
         self._routes: dict[bytes, Route] = {}
-        self._once_allowed: dict[bytes, set[str]] = {}
         self._cold_flows_per_s: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -68,7 +66,6 @@
         self.idle_timeout_s = cfg.idle_timeout_s
         self._routes = {route.place: route for route in cfg.routes}
         self._cold_flows_per_s = {w.service: w.flows_per_s for w in cfg.warmth}
-        self._note_allowed(cfg.routes)
         return True
 
     def get(self, place: bytes) -> Route | None:
@@ -79,19 +76,6 @@
         """Return what a cold target of the service bears; 0 if it was not told."""
         return self._cold_flows_per_s.get(service, 0.0)
 
-    def ever_allowed(self, place: bytes, service: str) -> bool:
-        """Tell whether a route sends or once sent flows of this place there.
-
-        A flow stays where it was opened when a later configuration moves its
-        route to another service.
-        """
-        return service in self._once_allowed.get(place, ())
-
-    def _note_allowed(self, routes: Iterable[Route]) -> None:
-        for route in routes:
-            allowed = self._once_allowed.setdefault(route.place, set())
-            allowed.update(share.service for share in route.shares)
-
 
 def share_of(route: Route, flow: bytes) -> str:
     """Return the service of a new flow, by the weights of its route.
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -13,7 +13,7 @@
 from .packets import Decision, Drop, Forward, Packet, Reason, Reset
 from .placement import Placement
 from .routes import Route, RouteTable, share_of
-from .suspicion import Suspicion
+from .suspicion import MIN_REPEAT_GAP_S, Suspicion
 from .targets import LiveTarget, TargetTable
 
 TYPE_CHECKING = False
@@ -31,6 +31,11 @@
 # carry: after a late second answer to an opening packet they name the wrong one.
 STICKS_FOR_S = 2.0
 
+# Flows with a cookie that names no known target, until their callers give up;
+# as many as a zone's callers may hold after all its targets were replaced.
+MAX_STRANGERS = 4096
+FORGET_STRANGER_S = 10.0
+
 
 class Steering:
     """Decisions of one entry about packets from callers."""
@@ -43,7 +48,9 @@
         events: Events,
     ):
         self.flows = FlowTable()
-        self.knows_all_routes = False
+        self.knows_all_routes = _knows_nothing
+        self.knows_all_targets = _knows_nothing
+        self._strangers: dict[bytes, float] = {}
         self._routes = routes
         self._targets = targets
         self._placement = placement
@@ -54,7 +61,7 @@
         """Return what is to be done with a packet."""
         route = self._routes.get(packet.place)
         if route is None:
-            return self._without_route(packet)
+            return self._without_route(packet, now)
         if packet.is_syn:
             if packet.has_ack:
                 return Drop(Reason.FORGED)
@@ -64,10 +71,13 @@
     def expire(self, now: float) -> None:
         """Forget what is over; to be called about once a second."""
         self.flows.expire(now, self._routes.idle_timeout_s)
+        for key, first in list(self._strangers.items()):
+            if now - first > FORGET_STRANGER_S:
+                del self._strangers[key]
         self._targets.forget(now)
 
-    def _without_route(self, packet: Packet) -> Decision:
-        if not self.knows_all_routes:
+    def _without_route(self, packet: Packet, now: float) -> Decision:
+        if not self.knows_all_routes(now):
             return Drop(Reason.ROUTE_UNKNOWN_YET)
         self.flows.remove(packet.flow)
         return Reset(Reason.NO_ROUTE)
@@ -139,30 +149,52 @@
     def _later(self, packet: Packet, now: float) -> Decision:
         flow = self.flows.get(packet.flow)
         if flow is None or not self._sticks(flow, packet, now):
-            target = self._targets.by_cookie(packet.cookie)
+            target = self._targets.by_cookie(packet.place, packet.cookie)
             if target is None:
-                return self._unknown_cookie(packet, flow)
-            if not self._routes.ever_allowed(packet.place, target.service):
-                return Drop(Reason.FOREIGN_COOKIE)
+                return self._unknown_cookie(packet, now)
             if flow is None:
                 flow = self.flows.add(packet.flow, target, now)
                 flow.is_open = True
             elif flow.target is not target:
                 self.flows.move(flow, target)
         self._note_packet(flow, packet, now)
+        if packet.size and self._placement.is_gone(flow.target, now):
+            return self._give_up(packet, flow, Reason.TARGET_GONE, now)
         if flow.repeats and self._suspicion.gives_up(flow, now):
-            return self._give_up(packet, flow, now)
+            return self._give_up(packet, flow, Reason.TARGET_SILENT, now)
         flow.sent_at = flow.seen_at = now
         flow.is_closing = flow.is_closing or packet.is_last
         return Forward(flow.target)
 
     def _sticks(self, flow: Flow, packet: Packet, now: float) -> bool:
-        if packet.cookie == flow.target.cookie:
+        if packet.cookie == flow.target.cookie(packet.place):
             return True
         return flow.is_open and now - flow.seen_at < STICKS_FOR_S
 
-    def _unknown_cookie(self, packet: Packet, flow: Flow | None) -> Decision:
-        return Drop(Reason.UNKNOWN_COOKIE)
+    def _unknown_cookie(self, packet: Packet, now: float) -> Decision:
+        """Reset a flow whose target has ended, or started too lately to be known.
+
+        Which of both shows when the caller sends again.
+        """
+        if not packet.size:
+            return Drop(Reason.UNKNOWN_COOKIE)
+        first = self._strangers.get(packet.flow)
+        if first is None:
+            if len(self._strangers) < MAX_STRANGERS:
+                self._strangers[packet.flow] = now
+            return Drop(Reason.UNKNOWN_COOKIE)
+        waited = now - first >= MIN_REPEAT_GAP_S
+        if not waited or not self.knows_all_targets(now):
+            return Drop(Reason.UNKNOWN_COOKIE)
+        del self._strangers[packet.flow]
+        self._events.emit(
+            Event.FLOW_RESET,
+            flow=packet.flow,
+            reason=Reason.UNKNOWN_COOKIE.value,
+            cookie=packet.cookie,
+            waited_s=round(now - first, 3),
+        )
+        return Reset(Reason.UNKNOWN_COOKIE)
 
     def _note_packet(self, flow: Flow, packet: Packet, now: float) -> None:
         """Learn from a packet whether the flow's target answers."""
@@ -188,18 +220,25 @@
         elif not moved:
             self._suspicion.note_repeat(flow, now)
 
-    def _give_up(self, packet: Packet, flow: Flow, now: float) -> Decision:
+    def _give_up(
+        self, packet: Packet, flow: Flow, reason: Reason, now: float
+    ) -> Decision:
         target = flow.target
         self._events.emit(
             Event.FLOW_RESET,
             flow=packet.flow,
-            reason=Reason.TARGET_SILENT.value,
+            reason=reason.value,
             target=target.name,
             repeats=flow.repeats,
             silent_s=round(now - target.progress_at, 3),
         )
         self.flows.remove(packet.flow)
-        return Reset(Reason.TARGET_SILENT)
+        return Reset(reason)
+
+
+def _knows_nothing(now: float) -> bool:
+    """Stand in until the feeds are there."""
+    return False
 
 
 def _is_after(number: int, other: int) -> bool:
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -9,8 +9,6 @@
 
 from ..engine.objects import Target, TargetState
 
-COOKIE_BITS = 32
-
 # Targets that have left the list keep their cookies this long, so that their
 # open flows can still be told: flows may live for a minute, and stay idle
 # for some more.
@@ -43,7 +41,7 @@
         "address",
         "cold_until",
         "complaints",
-        "cookie",
+        "cookies",
         "domain",
         "draining",
         "flows",
@@ -68,7 +66,7 @@
         self.name = report.target.name
         self.key = report.key
         self.incarnation = report.incarnation
-        self.cookie = cookie_of(report)
+        self.cookies: dict[bytes, int] = {}
         self.flows = 0
         self.waiting = 0
         self.complaints = 0
@@ -94,27 +92,32 @@
         self.listed = True
         self.unlisted_at = now
 
+    def cookie(self, place: bytes) -> int:
+        """Return the cookie of this target's flows to ``place``; never 0.
+
+        All entries work out the same cookie. A new start under an old name gets
+        another one, and so do flows to another place: a cookie names a target
+        only for the place for which an entry once chose it.
+        """
+        cookie = self.cookies.get(place)
+        if cookie is None:
+            text = f"{self.name}/{self.incarnation}/".encode()
+            cookie = xxhash.xxh32_intdigest(text + place) or 1
+            self.cookies[place] = cookie
+        return cookie
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the target still warms up after its start."""
         return now < self.cold_until
 
 
-def cookie_of(report: Report) -> int:
-    """Return the cookie of one start of a target; never 0, which means none.
-
-    All entries work out the same cookie, and a new start under an old name
-    gets another one.
-    """
-    text = f"{report.target.name}/{report.incarnation}".encode()
-    return xxhash.xxh32_intdigest(text) or 1
-
-
 class TargetTable:
     """All targets that are listed, and those that were until a while ago."""
 
     def __init__(self):
         self._listed: dict[str, LiveTarget] = {}
-        self._by_cookie: dict[int, LiveTarget] = {}
+        self._remembered: dict[tuple[str, int], LiveTarget] = {}
+        self._by_cookie: dict[bytes, dict[int, LiveTarget]] = {}
         self._by_service: dict[str, tuple[LiveTarget, ...]] = {}
         self._services_stale = False
 
@@ -128,9 +131,13 @@
         """Return the listed target of this name, or None."""
         return self._listed.get(name)
 
-    def by_cookie(self, cookie: int) -> LiveTarget | None:
-        """Return the target that a cookie names, listed or remembered."""
-        return self._by_cookie.get(cookie)
+    def by_cookie(self, place: bytes, cookie: int) -> LiveTarget | None:
+        """Return the target that a cookie names at a place, listed or remembered."""
+        targets = self._by_cookie.get(place)
+        if targets is None:
+            targets = {t.cookie(place): t for t in self._remembered.values()}
+            self._by_cookie[place] = targets
+        return targets.get(cookie)
 
     def of_service(self, service: str) -> tuple[LiveTarget, ...]:
         """Return the targets of a service, with those remembered as gone."""
@@ -140,13 +147,14 @@
 
     def put(self, report: Report, now: float) -> LiveTarget:
         """Take in what a target says of itself; return its state here."""
-        cookie = cookie_of(report)
-        known = self._by_cookie.get(cookie)
-        if known is not None and known.name == report.target.name:
+        start = (report.target.name, report.incarnation)
+        known = self._remembered.get(start)
+        if known is not None:
             known.update(report, now)
         else:
-            known = LiveTarget(report, now)
-            self._by_cookie[cookie] = known
+            known = self._remembered[start] = LiveTarget(report, now)
+            for place, targets in self._by_cookie.items():
+                targets[known.cookie(place)] = known
         earlier = self._listed.get(known.name)
         if earlier is not None and earlier is not known:
             self._unlist(earlier, now)
@@ -168,9 +176,10 @@
 
     def forget(self, now: float) -> None:
         """Drop the cookies of targets that have been gone for long."""
-        for target in list(self._by_cookie.values()):
+        for start, target in list(self._remembered.items()):
             if not target.listed and now - target.unlisted_at > REMEMBER_GONE_S:
-                del self._by_cookie[target.cookie]
+                del self._remembered[start]
+                self._by_cookie.clear()
                 self._services_stale = True
 
     def _unlist(self, target: LiveTarget, now: float) -> None:
@@ -180,7 +189,7 @@
 
     def _index_services(self) -> None:
         services: dict[str, list[LiveTarget]] = {}
-        for target in self._by_cookie.values():
+        for target in self._remembered.values():
             services.setdefault(target.service, []).append(target)
         self._by_service = {name: tuple(each) for name, each in services.items()}
         self._services_stale = False
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -56,7 +56,7 @@
     def start(self) -> None:
         """Open all ports and begin to read the store."""
         self._port = PacketPort(
-            self._reactor, self._settings.packets, self._steering
+            self._reactor, self._settings.packets, self._steering, self._log
         )
         pages = {READY_PATH: self._ready_page}
         PageServer(self._reactor, self._settings.readiness, pages)
@@ -82,6 +82,9 @@
             reader = StoreReader(self._reactor, self._settings.store, feed)
             self._readers.append(reader)
             reader.start()
+        self._steering.knows_all_targets = self._feeds[objects.TARGETS].is_complete
+        config = self._feeds[objects.CONFIGURATIONS]
+        self._steering.knows_all_routes = config.is_complete
 
     def _ready_page(self) -> PageAnswer:
         ready = self._site.is_known and not self._lifecycle.is_stopping
@@ -92,8 +95,6 @@
 
     def _sweep(self) -> None:
         self._reactor.callLater(SWEEP_S, self._sweep)
-        config = self._feeds[objects.CONFIGURATIONS]
-        self._steering.knows_all_routes = config.is_current
         self._steering.expire(self._reactor.seconds())
         self._log.flush()
         if _stamp(self._settings_path) != self._settings_stamp:
--- a/kumquatshift/platform/port.py
+++ b/kumquatshift/platform/port.py
@@ -4,10 +4,15 @@
 
 import socket
 
+from ..direct.events import Event
 from ..direct.packets import Drop, Forward, Reason, Reset
 from ..direct.steering import Steering
 from .packets import MAX_DATA_BYTES, caller_host, decode, forwarded, reset
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from ..direct.events import Events
+
 RECEIVE_BYTES = MAX_DATA_BYTES + 256
 
 # Packets taken before other work gets its turn: a few milliseconds of them.
@@ -20,13 +25,16 @@
 class PacketPort:
     """Takes packets, asks `Steering` about each, and carries its answer out."""
 
-    def __init__(self, reactor, address: tuple[str, int], steering: Steering):
+    def __init__(
+        self, reactor, address: tuple[str, int], steering: Steering, events: Events
+    ):
         self.last_packet_at = reactor.seconds()
         self.packets = 0
         self.resets = 0
         self.drops = dict.fromkeys(Reason, 0)
         self._reactor = reactor
         self._steering = steering
+        self._events = events
         self._callers_port = address[1]
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
@@ -58,13 +66,28 @@
         decision = self._steering.decide(packet, now)
         if isinstance(decision, Forward):
             target = decision.target
-            self._send(forwarded(data, target.key, target.cookie), target.address)
+            cookie = target.cookie(packet.place)
+            self._send(forwarded(data, target.key, cookie), target.address)
         elif isinstance(decision, Reset):
             self.resets += 1
+            if packet.is_syn:
+                self._events.emit(
+                    Event.FLOW_REFUSED,
+                    flow=packet.flow,
+                    reason=decision.reason.value,
+                )
             place = (caller_host(packet.flow), self._callers_port)
             self._send(reset(packet.flow, packet.ack), place)
         elif isinstance(decision, Drop):
             self.drops[decision.reason] += 1
+            self._events.emit(
+                Event.PACKET_DROPPED,
+                flow=packet.flow,
+                reason=decision.reason.value,
+                cookie=packet.cookie,
+                is_syn=packet.is_syn,
+                size=packet.size,
+            )
 
     def _send(self, data: bytes, place: tuple[str, int]) -> None:
         try:
