--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -160,7 +160,7 @@
         self._note_packet(flow, packet, now)
         if packet.size and self._placement.is_gone(flow.target, now):
             return self._give_up(packet, flow, Reason.TARGET_GONE, now)
-        if flow.repeats and self._suspicion.gives_up(flow, now):
+        if packet.size and self._suspicion.is_dead(flow.target, now):
             return self._give_up(packet, flow, Reason.TARGET_SILENT, now)
         flow.sent_at = flow.seen_at = now
         flow.is_closing = flow.is_closing or packet.is_last
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -90,14 +90,14 @@
                 silent_s=round(now - target.progress_at, 3),
             )
 
-    def gives_up(self, flow: Flow, now: float) -> bool:
-        """Tell whether an open flow is lost, since its whole target is dead."""
-        target = flow.target
-        return (
-            target.suspected
-            and now - target.progress_at > DEAD_AFTER_S
-            and now - target.silent_since > DEAD_AFTER_S
-        )
+    def is_dead(self, target: LiveTarget, now: float) -> bool:
+        """Tell whether a target has been silent for so long that it is dead.
+
+        Its open flows are lost; callers do better to open others at once.
+        """
+        if not target.suspected or now - target.progress_at <= DEAD_AFTER_S:
+            return False
+        return now - target.silent_since > DEAD_AFTER_S
 
     def _is_silent(self, target: LiveTarget, flow: Flow, now: float) -> bool:
         if now - target.progress_at < SILENCE_S:
