--- a/kumquatshift/adapters/epoll.py
+++ b/kumquatshift/adapters/epoll.py
@@ -20,24 +20,39 @@
 LONGEST_WAIT_S = 10.0
 
 
+class Descriptor:
+    """Base of what a reactor reads from or writes to, Twisted's included."""
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Name the descriptor where the reactor tells of it."""
+        return type(self).__name__
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        """Pass over it: reading and writing show a lost connection."""
+
+
 class DelayedCall:
     """A call to be made later, unless it is cancelled."""
 
-    __slots__ = ("args", "call", "is_cancelled", "order", "time")
+    __slots__ = ("args", "call", "is_over", "order", "time")
 
     def __init__(self, when: float, order: int, call: Callable, args: tuple):
         self.time = when
         self.order = order
         self.call = call
         self.args = args
-        self.is_cancelled = False
+        self.is_over = False
 
     def __lt__(self, other: DelayedCall) -> bool:
         return (self.time, self.order) < (other.time, other.order)
 
     def cancel(self) -> None:
         """Do not make the call."""
-        self.is_cancelled = True
+        self.is_over = True
+
+    def active(self) -> bool:
+        """Tell whether the call is still to be made."""
+        return not self.is_over
 
 
 class EpollReactor:
@@ -49,6 +64,7 @@
         self._epoll = select.epoll()
         self._readers: dict[int, object] = {}
         self._writers: dict[int, object] = {}
+        self._registered: set[int] = set()
         self._calls: list[DelayedCall] = []
         self._order = 0
         self._is_running = False
@@ -99,7 +115,7 @@
         self._is_running = False
 
     def _wait_s(self) -> float:
-        while self._calls and self._calls[0].is_cancelled:
+        while self._calls and self._calls[0].is_over:
             heapq.heappop(self._calls)
         if not self._calls:
             return LONGEST_WAIT_S
@@ -118,7 +134,8 @@
         now = self.seconds()
         while self._calls and self._calls[0].time <= now:
             delayed = heapq.heappop(self._calls)
-            if not delayed.is_cancelled:
+            if not delayed.is_over:
+                delayed.is_over = True
                 delayed.call(*delayed.args)
 
     def _register(self, fd: int) -> None:
@@ -127,15 +144,15 @@
             events |= select.EPOLLIN
         if fd in self._writers:
             events |= select.EPOLLOUT
-        try:
+        if fd in self._registered:
             self._epoll.unregister(fd)
-        except FileNotFoundError:
-            pass  # It was not registered before.
+            self._registered.discard(fd)
         if events:
             self._epoll.register(fd, events)
+            self._registered.add(fd)
 
 
-class _Waker:
+class _Waker(Descriptor):
     """Ends the wait for events when a signal comes."""
 
     def __init__(self, reactor: EpollReactor):
--- a/kumquatshift/adapters/http_call.py
+++ b/kumquatshift/adapters/http_call.py
@@ -14,6 +14,7 @@
 from httptools.parser.parser import HttpResponseParser
 
 from ..direct.feed import Failure
+from .epoll import Descriptor
 
 RECEIVE_BYTES = 65_536
 
@@ -35,7 +36,7 @@
     detail: str
 
 
-class HttpCaller:
+class HttpCaller(Descriptor):
     """Makes calls to one server, given as ``(host, port)``."""
 
     def __init__(self, reactor, address: tuple[str, int]):
@@ -165,9 +166,9 @@
 
     def _finish(self) -> None:
         self._on_done = None
-        if self._timeout is not None:
+        if self._timeout is not None and self._timeout.active():
             self._timeout.cancel()
-            self._timeout = None
+        self._timeout = None
 
     def _drop(self) -> None:
         if self._sock is None:
--- a/kumquatshift/adapters/http_pages.py
+++ b/kumquatshift/adapters/http_pages.py
@@ -8,6 +8,8 @@
 
 from httptools.parser.parser import HttpRequestParser
 
+from .epoll import Descriptor
+
 RECEIVE_BYTES = 4096
 BACKLOG = 64
 
@@ -31,7 +33,7 @@
 Pages = dict[bytes, Callable[[], PageAnswer]]
 
 
-class PageServer:
+class PageServer(Descriptor):
     """Serves ``pages`` by path at one address."""
 
     def __init__(self, reactor, address: tuple[str, int], pages: Pages):
@@ -71,7 +73,7 @@
         self._connections.discard(conn)
 
 
-class _Connection:
+class _Connection(Descriptor):
     """One connection of a prober."""
 
     def __init__(self, reactor, sock: socket.socket, server: PageServer):
@@ -125,7 +127,8 @@
         self._reactor.addWriter(self)
 
     def _close(self) -> None:
-        self._idle.cancel()
+        if self._idle.active():
+            self._idle.cancel()
         if self._sock.fileno() < 0:
             return
         self._reactor.removeReader(self)
--- a/kumquatshift/direct/packets.py
+++ b/kumquatshift/direct/packets.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
 from enum import Enum
+from typing import NamedTuple
 
 from .targets import LiveTarget
 
--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -51,7 +51,7 @@
             for target in targets
             if target.flows < limits.max_flows and self._is_able(target, now)
         ]
-        usable = [target for target in able if self._is_usable(target, now)]
+        usable = [t for t in able if self._is_usable(t, limits, now)]
         # That all are suspected may be our own trouble: one of them is tried.
         usable = usable or [target for target in able if target.suspected]
         if not usable:
@@ -94,9 +94,11 @@
             return False
         return self.is_present(target, now)
 
-    def _is_usable(self, target: LiveTarget, now: float) -> bool:
-        if target.is_cold(now) and not self._warmup.admits(target, now):
-            return False
+    def _is_usable(self, target: LiveTarget, limits: ServiceLimits, now: float) -> bool:
+        if target.is_cold(now):
+            per_s = limits.cold_flows_per_s
+            if not self._warmup.admits(target, per_s, now):
+                return False
         return not target.suspected or may_probe(target, now)
 
     def _cost(self, target: LiveTarget):
--- a/kumquatshift/direct/warmup.py
+++ b/kumquatshift/direct/warmup.py
@@ -13,9 +13,12 @@
 
 from .targets import LiveTarget
 
-# Part of the allowance that is handed out; the rest covers packets that were
-# delayed into the same second.
-USED_PART = 0.8
+# Packets may be delayed into the same second as later ones; their way takes a
+# few milliseconds.
+SPACING_FACTOR = 1.1
+
+# An entry that may not use cold targets at all asks again after this time.
+NEVER_S = 3600.0
 
 
 class WarmupBounds(NamedTuple):
@@ -29,19 +32,35 @@
 
 
 class Warmup:
-    """Hands out this entry's part of what cold targets bear."""
+    """Hands out this entry's part of what cold targets bear.
+
+    ``entries`` is how many entries the failure domain has, and ``rank`` the
+    place of this one among them, from 0. Where a target bears fewer flows than
+    there are entries, only the first ones use it.
+    """
 
     def __init__(self, bounds: WarmupBounds, domain: str):
         self._bounds = bounds
         self._domain = domain
         self.entries = 1
+        self.rank = 0
 
-    def admits(self, target: LiveTarget, now: float) -> bool:
+    def admits(self, target: LiveTarget, flows_per_s: float, now: float) -> bool:
         """Tell whether a cold target may get a flow from this entry now."""
-        return target.domain == self._domain and now >= target.next_cold_flow
+        if target.domain != self._domain or now < target.next_cold_flow:
+            return False
+        return self._part(flows_per_s) > 0
 
     def note_flow(self, target: LiveTarget, flows_per_s: float, now: float) -> None:
         """Note a new flow at a cold target that bears ``flows_per_s``."""
-        bears = flows_per_s * self._bounds.burst_factor + self._bounds.slack
-        gap_s = self.entries / (bears * USED_PART)
-        target.next_cold_flow = max(target.next_cold_flow, now) + gap_s
+        part = self._part(flows_per_s)
+        gap_s = SPACING_FACTOR / part if part else NEVER_S
+        target.next_cold_flow = now + gap_s
+
+    def _part(self, flows_per_s: float) -> int:
+        """Return how many flows this entry may send in any second."""
+        bears = int(flows_per_s * self._bounds.burst_factor + self._bounds.slack)
+        part = bears // self.entries
+        if part == 0 and self.rank < bears:
+            return 1
+        return part
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -22,6 +22,7 @@
 from .packets import flow_text
 from .port import PacketPort
 from .store import StoreReader
+from .takers import takers
 
 READY_PATH = b"/api/ready"
 SWEEP_S = 1.0
@@ -76,12 +77,7 @@
         bounds = self._settings.bounds
         shortest_s = min(bounds.drain_s, bounds.config_s, bounds.evacuate_s)
         watch_s = bounds.stable_window_s + shortest_s - WATCH_MARGIN_S
-        takers = {
-            objects.CONFIGURATIONS: ConfigurationTaker(self._site, self._log),
-            objects.TARGETS: TargetTaker(self._site, self._log),
-            objects.EVACUATIONS: EvacuationTaker(self._site),
-        }
-        for kind, taker in takers.items():
+        for kind, taker in takers(self._site, self._log).items():
             feed = Feed(kind, watch_s, _Told(taker, self._take_packets), self._log)
             self._feeds[kind] = feed
             reader = StoreReader(self._reactor, self._settings.store, feed)
@@ -159,82 +155,6 @@
         self._tell()
 
 
-class ConfigurationTaker:
-    """Hands configurations from the store to the site."""
-
-    def __init__(self, site: Site, log: EventLog):
-        self._site = site
-        self._log = log
-
-    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
-        """Take in the configuration, if there is one already."""
-        for item in items:
-            self._take(item)
-
-    def take_change(self, change: Change, now: float) -> None:
-        """Take in a new configuration."""
-        if not change.is_deleted:
-            self._take(change.item)
-
-    def _take(self, item: Item) -> None:
-        if item.name != objects.CONFIGURATION_NAME:
-            return
-        try:
-            cfg = objects.configuration_from(item.value)
-        except objects.Unreadable as exc:
-            self._log.emit(Event.CONFIG_REJECTED, problem=str(exc))
-            return
-        self._site.put_configuration(cfg, "store")
-
-
-class TargetTaker:
-    """Hands what targets say of themselves to the site."""
-
-    def __init__(self, site: Site, log: EventLog):
-        self._site = site
-        self._log = log
-
-    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
-        """Take in all targets; entries that can not be read name none."""
-        if after_loss:
-            self._site.note_relisting(now)
-        reports = [self._report(item) for item in items]
-        self._site.list_targets([r for r in reports if r is not None], (), now)
-
-    def take_change(self, change: Change, now: float) -> None:
-        """Take in what one target says, or that it has left."""
-        report = None if change.is_deleted else self._report(change.item)
-        if report is None:
-            self._site.remove_target(change.item.name, now)
-        else:
-            self._site.put_target(report, now)
-
-    def _report(self, item: Item):
-        try:
-            return objects.report_from(item.name, item.value)
-        except objects.Unreadable as exc:
-            self._log.emit(Event.OBJECT_UNREADABLE, problem=str(exc))
-            return None
-
-
-class EvacuationTaker:
-    """Hands evacuated domains to the site."""
-
-    def __init__(self, site: Site):
-        self._site = site
-
-    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
-        """Take in all evacuated domains."""
-        self._site.list_evacuations(item.name for item in items)
-
-    def take_change(self, change: Change, now: float) -> None:
-        """Take in that a domain is evacuated, or taken back."""
-        if change.is_deleted:
-            self._site.take_back(change.item.name)
-        else:
-            self._site.evacuate(change.item.name)
-
-
 def run(settings: DirectSettings, settings_path: str, sock: socket.socket) -> None:
     """Run an entry on the socket that its packets come to, until it is stopped."""
     reactor = EpollReactor()
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -20,22 +20,22 @@
 DRAINS = {"ready": False, "draining": True}
 
 
-class Unreadable(ValueError):
+class UnreadableError(ValueError):
     """An object or an answer is not what the platform's pages say."""
 
 
 def page_from(body: bytes) -> Page:
-    """Decode a page of a list; raises `Unreadable`."""
+    """Decode a page of a list; raises `UnreadableError`."""
     try:
         answer = json.loads(body)
         items = tuple(_item(each) for each in answer["items"])
         return Page(items, bool(answer.get("more")), int(answer["currentRev"]))
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        raise Unreadable(f"a list: {exc!r}") from exc
+        raise UnreadableError(f"a list: {exc!r}") from exc
 
 
 def changes_from(body: bytes) -> Changes:
-    """Decode what a watch brought; raises `Unreadable`."""
+    """Decode what a watch brought; raises `UnreadableError`."""
     try:
         answer = json.loads(body)
         changes = tuple(
@@ -44,11 +44,11 @@
         )
         return Changes(changes, int(answer["currentRev"]))
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        raise Unreadable(f"changes: {exc!r}") from exc
+        raise UnreadableError(f"changes: {exc!r}") from exc
 
 
 def configuration_from(spec: object) -> Configuration:
-    """Decode a whole configuration; raises `Unreadable`."""
+    """Decode a whole configuration; raises `UnreadableError`."""
     try:
         return Configuration(
             version=int(spec["version"]),
@@ -57,11 +57,11 @@
             limits=tuple(_limits(each) for each in spec.get("services", ())),
         )
     except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
-        raise Unreadable(f"a configuration: {exc!r}") from exc
+        raise UnreadableError(f"a configuration: {exc!r}") from exc
 
 
 def report_from(name: str, spec: object) -> Report:
-    """Decode what a target says of itself; raises `Unreadable`."""
+    """Decode what a target says of itself; raises `UnreadableError`."""
     try:
         host, _, port = spec["address"].rpartition(":")
         socket.inet_aton(host)
@@ -79,9 +79,9 @@
             warms_for_s=warms_for_ms / 1000,
         )
     except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
-        raise Unreadable(f"target {name!r}: {exc!r}") from exc
+        raise UnreadableError(f"target {name!r}: {exc!r}") from exc
     except OverflowError as exc:
-        raise Unreadable(f"target {name!r}: its name is too long") from exc
+        raise UnreadableError(f"target {name!r}: its name is too long") from exc
 
 
 def _item(wire: dict) -> Item:
--- a/kumquatshift/platform/port.py
+++ b/kumquatshift/platform/port.py
@@ -4,6 +4,7 @@
 
 import socket
 
+from ..adapters.epoll import Descriptor
 from ..direct.events import Event
 from ..direct.packets import Drop, Forward, Reason, Reset
 from ..direct.steering import Steering
@@ -19,7 +20,7 @@
 BATCH_PACKETS = 64
 
 
-class PacketPort:
+class PacketPort(Descriptor):
     """Takes packets, asks `Steering` about each, and carries its answer out."""
 
     def __init__(
@@ -45,15 +46,20 @@
 
     def doRead(self) -> None:  # noqa: N802
         """Take the packets that wait, a batch at most."""
-        now = self._reactor.seconds()
+        now = self.now()
         for _ in range(BATCH_PACKETS):
             try:
                 data = self._sock.recv(RECEIVE_BYTES)
             except BlockingIOError:
                 return
-            self._handle(data, now)
+            self.handle(data, now)
 
-    def _handle(self, data: bytes, now: float) -> None:
+    def now(self) -> float:
+        """Return the time that packets are judged by."""
+        return self._reactor.seconds()
+
+    def handle(self, data: bytes, now: float) -> None:
+        """Carry out what is decided about one packet."""
         self.packets += 1
         self.last_packet_at = now
         packet = decode(data)
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -7,7 +7,7 @@
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
 from ..direct.feed import Failure, Feed, ListCall, WatchCall
-from .objects import Unreadable, changes_from, page_from
+from .objects import UnreadableError, changes_from, page_from
 
 FAILURES = {410: Failure.EXPIRED, 429: Failure.OVERLOADED}
 
@@ -30,7 +30,7 @@
     def stop(self) -> None:
         """Make no more calls, and close the connection."""
         self._is_stopped = True
-        if self._next is not None:
+        if self._next is not None and self._next.active():
             self._next.cancel()
         self._caller.close()
 
@@ -55,7 +55,7 @@
         else:
             try:
                 take(decode(answer.body), now)
-            except Unreadable as exc:
+            except UnreadableError as exc:
                 self._feed.take_failure(Failure.UNREADABLE, str(exc), now)
         if not self._is_stopped:
             self.start()
--- /dev/null
+++ b/kumquatshift/platform/takers.py
@@ -0,0 +1,99 @@
+"""Hand what the store has to the site, decoded, one taker for each kind."""
+
+from __future__ import annotations
+
+from ..direct.events import Event
+from ..direct.feed import Change, Item
+from ..direct.site import Site
+from ..direct.targets import Report
+from . import objects
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from ..direct.events import Events
+    from ..direct.feed import FeedTarget
+
+
+def takers(site: Site, events: Events) -> dict[str, FeedTarget]:
+    """Return who takes in each kind of object."""
+    return {
+        objects.CONFIGURATIONS: ConfigurationTaker(site, events),
+        objects.TARGETS: TargetTaker(site, events),
+        objects.EVACUATIONS: EvacuationTaker(site),
+    }
+
+
+class ConfigurationTaker:
+    """Hands configurations from the store to the site."""
+
+    def __init__(self, site: Site, events: Events):
+        self._site = site
+        self._events = events
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in the configuration, if there is one already."""
+        for item in items:
+            self._take(item)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in a new configuration."""
+        if not change.is_deleted:
+            self._take(change.item)
+
+    def _take(self, item: Item) -> None:
+        if item.name != objects.CONFIGURATION_NAME:
+            return
+        try:
+            cfg = objects.configuration_from(item.value)
+        except objects.UnreadableError as exc:
+            self._events.emit(Event.CONFIG_REJECTED, problem=str(exc))
+            return
+        self._site.put_configuration(cfg, "store")
+
+
+class TargetTaker:
+    """Hands what targets say of themselves to the site."""
+
+    def __init__(self, site: Site, events: Events):
+        self._site = site
+        self._events = events
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in all targets; entries that can not be read name none."""
+        if after_loss:
+            self._site.note_relisting(now)
+        reports = [self._report(item) for item in items]
+        self._site.list_targets([r for r in reports if r is not None], (), now)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in what one target says, or that it has left."""
+        report = None if change.is_deleted else self._report(change.item)
+        if report is None:
+            self._site.remove_target(change.item.name, now)
+        else:
+            self._site.put_target(report, now)
+
+    def _report(self, item: Item) -> Report | None:
+        try:
+            return objects.report_from(item.name, item.value)
+        except objects.UnreadableError as exc:
+            self._events.emit(Event.OBJECT_UNREADABLE, problem=str(exc))
+            return None
+
+
+class EvacuationTaker:
+    """Hands evacuated domains to the site."""
+
+    def __init__(self, site: Site):
+        self._site = site
+
+    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
+        """Take in all evacuated domains."""
+        self._site.list_evacuations(item.name for item in items)
+
+    def take_change(self, change: Change, now: float) -> None:
+        """Take in that a domain is evacuated, or taken back."""
+        if change.is_deleted:
+            self._site.take_back(change.item.name)
+        else:
+            self._site.evacuate(change.item.name)
--- /dev/null
+++ b/kumquatshift/standins/direct_flows.py
@@ -0,0 +1,336 @@
+"""Both ends of a flow with direct return, without any I/O of their own.
+
+A `FlowTarget` answers callers' packets as a host of the users' platform does, a
+`FlowCaller` opens flows and sends requests as its clients do. A request and its
+answer are one packet each; that is enough to show where requests end up, what
+is sent again and when, and what a reset costs.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from ..platform.packets import ACK, FIN, HEAD, HEAD_BYTES, RST, SYN
+
+COPIES_AT_S = (0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+FIRST_REPEAT_S = 0.2
+LONGEST_REPEAT_S = 1.6
+SEQUENCE_MASK = 0xFFFFFFFF
+ANSWER_BYTES = 600
+REQUEST_BYTES = 100
+
+Ends = tuple[bytes, int, bytes, int]
+
+
+@dataclass(frozen=True)
+class Head:
+    """The head of a packet, field by field."""
+
+    flags: int
+    source: bytes
+    source_port: int
+    place: bytes
+    place_port: int
+    echo: int = 0
+    seq: int = 0
+    ack: int = 0
+
+    @classmethod
+    def unpack(cls, data: bytes) -> "Head":
+        """Read the head of a packet."""
+        _, flags, _, dport, src, sport, dst, echo, _, seq, ack = HEAD.unpack_from(data)
+        return cls(flags, src, sport, dst, dport, echo, seq, ack)
+
+    def pack(self, data: bytes = b"") -> bytes:
+        """Return the packet with this head and ``data``."""
+        return (
+            HEAD.pack(
+                1,
+                self.flags,
+                0,
+                self.place_port,
+                self.source,
+                self.source_port,
+                self.place,
+                self.echo,
+                len(data),
+                self.seq,
+                self.ack,
+            )
+            + data
+        )
+
+    def back(self, flags: int, seq: int, ack: int) -> "Head":
+        """Return the head of a packet the other way, with the same echo."""
+        return Head(
+            flags,
+            self.place,
+            self.place_port,
+            self.source,
+            self.source_port,
+            self.echo,
+            seq,
+            ack,
+        )
+
+
+@dataclass
+class _Held:
+    """A flow as its target holds it."""
+
+    seq: int
+    expected: int
+    is_open: bool = False
+    answers: dict[int, bytes] = field(default_factory=dict)
+
+
+class FlowTarget:
+    """One start of a target; ``send`` gives a packet to the caller."""
+
+    def __init__(self, clock, key: bytes, send: Callable[[bytes], None], work_s=0.02):
+        self.clock = clock
+        self.key = key
+        self.send = send
+        self.work_s = work_s
+        self.slots = 2
+        self.queue = 8
+        self.is_dark = False
+        self.openings: list[float] = []
+        self.runs: list[bytes] = []
+        self.strays = 0
+        self.shed = 0
+        self._flows: dict[Ends, _Held] = {}
+        self._busy = 0
+        self._waiting: list[Callable[[], None]] = []
+
+    def receive(self, datagram: bytes) -> None:
+        """Take a datagram from an entry."""
+        if self.is_dark or datagram[:8] not in (self.key, bytes(8)):
+            return
+        packet = datagram[8:]
+        head = Head.unpack(packet)
+        ends = (head.source, head.source_port, head.place, head.place_port)
+        held = self._flows.get(ends)
+        if head.flags & SYN:
+            self._accept(head, ends)
+        elif held is None:
+            self.strays += 1
+            self.send(head.back(RST, 0, 0).pack())
+        elif head.flags & RST:
+            del self._flows[ends]
+        else:
+            self._take(head, held, packet[HEAD_BYTES:])
+
+    def _accept(self, head, ends):
+        held = self._flows.get(ends)
+        if held is None:
+            self.openings.append(self.clock.seconds())
+            seq = int.from_bytes(self.key, "big") * 7919 & SEQUENCE_MASK
+            held = self._flows[ends] = _Held(seq, (head.seq + 1) & SEQUENCE_MASK)
+        self.send(head.back(SYN | ACK, held.seq, held.expected).pack())
+
+    def _take(self, head, held, data):
+        held.is_open = True
+        if not data:
+            return
+        if head.seq in held.answers:
+            answer = held.answers[head.seq]
+            if answer:
+                self.send(answer)
+            return
+        held.answers[head.seq] = b""
+        self._run(lambda: self._answer(head, held, data))
+
+    def _answer(self, head, held, data):
+        self.runs.append(data[:16])
+        self._reply(head, held, data[:16].ljust(ANSWER_BYTES, b"."))
+
+    def _reply(self, head, held, body):
+        ack = (head.seq + REQUEST_BYTES) & SEQUENCE_MASK
+        seq = (held.seq + 1 + ANSWER_BYTES * (len(held.answers) - 1)) & SEQUENCE_MASK
+        answer = head.back(ACK, seq, ack).pack(body)
+        held.answers[head.seq] = answer
+        if not self.is_dark:
+            self.send(answer)
+
+    def _run(self, job):
+        if self._busy < self.slots:
+            self._busy += 1
+            self.clock.callLater(self.work_s, self._finish, job)
+        elif len(self._waiting) < self.queue:
+            self._waiting.append(job)
+        else:
+            self.shed += 1
+
+    def _finish(self, job):
+        self._busy -= 1
+        job()
+        if self._waiting:
+            self._run(self._waiting.pop(0))
+
+
+class Outcome(Enum):
+    """How a request ended."""
+
+    ANSWERED = auto()
+    RESET = auto()
+    NOT_OPENED = auto()
+    DEADLINE = auto()
+
+
+@dataclass
+class Request:
+    """One request of a caller, over all its tries."""
+
+    name: bytes
+    sent_at: float
+    deadline: float
+    tries: int = 0
+    ended_at: float | None = None
+    outcome: Outcome | None = None
+
+    @property
+    def took_s(self) -> float:
+        """How long it took to its end."""
+        return self.ended_at - self.sent_at
+
+
+class FlowCaller:
+    """A caller that keeps one flow open and sends one request after another."""
+
+    def __init__(self, clock, ends: Ends, send, tries=3, deadline_s=2.0):
+        self.clock = clock
+        self.requests: list[Request] = []
+        self.resets = 0
+        self._source, self._port, self._place, self._place_port = ends
+        self._send = send
+        self._tries = tries
+        self._deadline_s = deadline_s
+        self._request: Request | None = None
+        self._echo = 0
+        self._is_open = False
+        self._has_flow = False
+        self._seq = 0
+        self._ack = 0
+        self._timers = []
+
+    def ask(self, name: bytes) -> None:
+        """Send a request, over the open flow if there is one."""
+        now = self.clock.seconds()
+        request = Request(name.ljust(16)[:16], now, now + self._deadline_s)
+        self.requests.append(request)
+        self._request = request
+        self._later(self._deadline_s, self._end, Outcome.DEADLINE, kept=True)
+        self._try()
+
+    def close(self) -> None:
+        """Close the flow, if there is one."""
+        if self._is_open:
+            self._packet(FIN | ACK)
+        self._drop_flow()
+
+    def receive(self, packet: bytes) -> None:
+        """Take a packet that came for this caller."""
+        head = Head.unpack(packet)
+        if head.place_port != self._port or not self._has_flow:
+            return
+        if head.flags & RST:
+            self._reset()
+            return
+        self._echo = head.echo
+        if head.flags & SYN:
+            self._opened(head)
+        elif self._request and packet[HEAD_BYTES:][:16] == self._request.name:
+            self._seq = head.ack
+            self._ack = (head.seq + ANSWER_BYTES) & SEQUENCE_MASK
+            self._packet(ACK)
+            self._end(Outcome.ANSWERED)
+
+    def _try(self):
+        self._request.tries += 1
+        if self._is_open:
+            self._send_request(FIRST_REPEAT_S)
+            return
+        self._port += 1
+        self._has_flow = True
+        self._echo = 0
+        self._seq = self._port * 104_729 & SEQUENCE_MASK
+        self._packet(SYN)
+        for copy, after_s in enumerate(COPIES_AT_S, 1):
+            self._later(after_s, self._packet, SYN, copy)
+        self._later(OPENING_LIMIT_S, self._not_opened)
+
+    def _opened(self, head):
+        if self._is_open:
+            return
+        self._is_open = True
+        self._cancel(all_timers=False)
+        self._seq = head.ack
+        self._ack = (head.seq + 1) & SEQUENCE_MASK
+        if self._request:
+            self._send_request(FIRST_REPEAT_S)
+
+    def _send_request(self, repeat_s):
+        data = self._request.name.ljust(REQUEST_BYTES, b".")
+        self._packet(ACK, data=data)
+        longer_s = min(LONGEST_REPEAT_S, repeat_s * 2)
+        self._later(repeat_s, self._send_request, longer_s)
+
+    def _packet(self, flags, copy=0, data=b""):
+        ack = copy if flags == SYN else self._ack
+        head = Head(
+            flags,
+            self._source,
+            self._port,
+            self._place,
+            self._place_port,
+            self._echo,
+            self._seq,
+            ack,
+        )
+        self._send(head.pack(data))
+
+    def _reset(self):
+        self.resets += 1
+        was_open = self._is_open
+        self._drop_flow()
+        if self._request is None:
+            return
+        self._again(Outcome.RESET if was_open else Outcome.NOT_OPENED)
+
+    def _not_opened(self):
+        self._drop_flow()
+        self._again(Outcome.NOT_OPENED)
+
+    def _again(self, outcome):
+        if self._request.tries < self._tries:
+            self._try()
+        else:
+            self._end(outcome)
+
+    def _end(self, outcome):
+        if self._request is None:
+            return
+        self._request.outcome = outcome
+        self._request.ended_at = self.clock.seconds()
+        self._request = None
+        self._cancel(all_timers=True)
+        if outcome is Outcome.DEADLINE:
+            self._drop_flow()
+
+    def _drop_flow(self):
+        self._is_open = self._has_flow = False
+        self._cancel(all_timers=False)
+
+    def _later(self, after_s, call, *args, kept=False):
+        self._timers.append((self.clock.callLater(after_s, call, *args), kept))
+
+    def _cancel(self, all_timers):
+        left = []
+        for timer, kept in self._timers:
+            if kept and not all_timers:
+                left.append((timer, kept))
+            elif timer.active():
+                timer.cancel()
+        self._timers = left
--- /dev/null
+++ b/tests/features/direct_suspicion.feature
@@ -0,0 +1,56 @@
+Feature: Targets that stop to answer are told from callers' packets
+
+  Scenario Outline: New flows leave a silent target, and open ones are given up
+    Given a direct site of entries in a, a with 4 targets in a and 0 in b
+    And packets are lost with a share of <loss>
+    When 40 callers send <per_s> requests a second for 3 s
+    And the first target falls silent
+    And the same callers send <per_s> requests a second for 4 s
+    Then each entry suspects only the silent target
+    And at least <share> of the later requests are answered, the slowest after <slowest> s
+
+    Examples: under load, and with packets lost
+      | loss  | per_s | share | slowest |
+      | 0     | 100   | 0.99  | 1.7     |
+      | 0     | 30    | 0.99  | 1.9     |
+      | 0.005 | 100   | 0.98  | 2.0     |
+
+  Scenario: Without suspicion the same load loses what meets the silent target
+    Given a direct site of entries in a, a with 4 targets in a and 0 in b
+    And its entries suspect nobody
+    When 40 callers send 100 requests a second for 3 s
+    And the first target falls silent
+    And the same callers send 100 requests a second for 4 s
+    Then less than 0.98 of the later requests are answered
+
+  Scenario Outline: A target that lives is not given up
+    Given a direct site of entries in a, a with 4 targets in a and 0 in b
+    And packets are lost with a share of <loss>
+    When 40 callers send 100 requests a second for 2 s
+    And <trouble>
+    And the same callers send 100 requests a second for 5 s
+    Then no entry resets a flow
+
+    Examples:
+      | loss | trouble                                    |
+      | 0    | the first target takes 6 times as long     |
+      | 0.02 | nothing else happens                       |
+      | 0    | both entries pause for 1.0 s               |
+
+  Scenario: A target that answers again is trusted at once
+    Given a direct site of entries in a with 3 targets in a and 0 in b
+    When 30 callers send 60 requests a second for 2 s
+    And the first target falls silent
+    And the same callers send 60 requests a second for 3 s
+    And the first target answers again
+    And 60 callers send 60 requests a second for 4 s
+    Then no entry suspects a target any more
+
+  Scenario: When all targets are suspected, one is still tried
+    Given a direct site of entries in a with 2 targets in a and 0 in b
+    When 10 callers send 40 requests a second for 1 s
+    And every target falls silent
+    And the same callers send 40 requests a second for 3 s
+    And every target answers again
+    And the same callers send 40 requests a second for 3 s
+    Then the last 40 requests are answered
--- /dev/null
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -0,0 +1,122 @@
+from behave import given, then, when
+
+from kumquatshift.direct import suspicion
+from kumquatshift.direct.events import Event
+from kumquatshift.standins.direct_flows import Outcome
+
+
+def answered(requests):
+    return [r for r in requests if r.outcome is Outcome.ANSWERED]
+
+
+@given("packets are lost with a share of {loss:g}")
+def step_loss(context, loss):
+    context.direct.loss = loss
+
+
+@given("its entries suspect nobody")
+def step_nobody(context):
+    old = suspicion.Suspicion.note_repeat
+    suspicion.Suspicion.note_repeat = lambda self, flow, now: None
+    context.add_cleanup(setattr, suspicion.Suspicion, "note_repeat", old)
+
+
+@when("the first target falls silent")
+def step_silent(context):
+    context.direct.target("a0").is_dark = True
+    context.before = len(context.results)
+
+
+@when("every target falls silent")
+def step_all_silent(context):
+    for target in context.direct.targets.values():
+        target.is_dark = True
+
+
+@when("every target answers again")
+def step_all_again(context):
+    for target in context.direct.targets.values():
+        target.is_dark = False
+
+
+@when("the first target answers again")
+def step_again(context):
+    context.direct.target("a0").is_dark = False
+
+
+@when("the first target takes {times:g} times as long")
+def step_slow(context, times):
+    context.direct.target("a0").work_s *= times
+
+
+@when("nothing else happens")
+def step_nothing(context):
+    pass
+
+
+@when("both entries pause for {seconds:g} s")
+def step_pause(context, seconds):
+    site = context.direct
+    for entry in site.entries:
+        held = []
+        handle = entry.port.handle
+        entry.port.handle = lambda data, now, held=held: held.append(data)
+
+        def resume(entry=entry, held=held, handle=handle):
+            entry.port.handle = handle
+            for data in held:
+                handle(data, entry.port.now())
+
+        site.clock.callLater(seconds + 0.5, resume)
+    # Requests go out during the pause, and are sent again.
+    for caller in context.callers[:20]:
+        site.clock.callLater(0.4, caller.ask, b"paused")
+
+
+@then("each entry suspects only the silent target")
+def step_only(context):
+    for entry in context.direct.entries:
+        suspected = {
+            inputs["target"]
+            for event, inputs in entry.events.lines
+            if event is Event.TARGET_SUSPECTED
+        }
+        assert suspected == {"a0"}, suspected
+
+
+@then(
+    "at least {share:g} of the later requests are answered,"
+    " the slowest after {slowest:g} s"
+)
+def step_share(context, share, slowest):
+    later = context.results[context.before :]
+    good = answered(later)
+    print(f"{len(good)} of {len(later)}, slowest {max(r.took_s for r in good):.2f} s")
+    assert len(good) >= share * len(later), (len(good), len(later))
+    assert max(r.took_s for r in good) <= slowest
+
+
+@then("less than {share:g} of the later requests are answered")
+def step_less(context, share):
+    later = context.results[context.before :]
+    assert len(answered(later)) < share * len(later), len(answered(later))
+
+
+@then("no entry resets a flow")
+def step_no_resets(context):
+    resets = [e.events.count(Event.FLOW_RESET) for e in context.direct.entries]
+    assert not any(resets), resets
+    assert all(entry.port.resets == 0 for entry in context.direct.entries)
+
+
+@then("no entry suspects a target any more")
+def step_trusted(context):
+    for entry in context.direct.entries:
+        left = [t.name for t in entry.site.targets if t.suspected]
+        assert not left, left
+
+
+@then("the last {count:d} requests are answered")
+def step_last(context, count):
+    last = sorted(context.results, key=lambda r: r.sent_at)[-count:]
+    assert len(answered(last)) == count, [r for r in last if r not in answered(last)]
--- /dev/null
+++ b/tests/features/steps/platform_store_steps.py
@@ -0,0 +1,191 @@
+import time
+
+from behave import given, then, when
+from twisted.internet import reactor
+
+from kumquatshift.direct.feed import Change, Changes, Feed, Item, Page
+from kumquatshift.direct.placement import Placement
+from kumquatshift.direct.site import Site
+from kumquatshift.direct.warmup import Warmup, WarmupBounds
+from kumquatshift.platform import objects
+from kumquatshift.platform.store import StoreReader
+from kumquatshift.platform.takers import takers
+from kumquatshift.standins.metadata_store import StoreFaults, serve
+from tests.features.steps.platform_wire_steps import CONFIGURATION, TARGET
+from tests.support.direct_site import Recorder
+from tests.support.loopback import in_reactor
+
+ADDRESS = "127.31.0.1"
+WATCH_S = 3.0
+POLL_S = 0.05
+
+TROUBLES = {
+    "answers 503": StoreFaults(refuse=503),
+    "answers 429": StoreFaults(refuse=429),
+    "resets connections": StoreFaults(reset=True),
+    "never answers": StoreFaults(silent=True),
+    "takes 0.5 s for each answer": StoreFaults(latency_s=0.5),
+    "breaks off its answers": StoreFaults(cut_answers=4),
+    "answers with half of its JSON": StoreFaults(garble_answers=4),
+}
+
+
+@given(
+    "a metadata store with {count:d} targets, a configuration and an evacuated domain"
+)
+def step_store(context, count):
+    context.api, port = in_reactor(serve, reactor, ADDRESS, 0)
+    context.add_cleanup(in_reactor, port.stopListening)
+    context.store_address = (ADDRESS, port.getHost().port)
+    for number in range(count):
+        context.api.put(objects.TARGETS, f"i-{number:04x}", TARGET)
+    context.api.put(objects.CONFIGURATIONS, "main", {**CONFIGURATION, "version": 1})
+    context.api.put(objects.EVACUATIONS, "north-d", {})
+
+
+def read_store(context, watch_s):
+    events = Recorder()
+    warmup = Warmup(WarmupBounds(1.5, 5), "north-a")
+    context.site = Site(Placement("north-a", warmup), events)
+    context.events = events
+    for kind, taker in takers(context.site, events).items():
+        feed = Feed(kind, watch_s, taker, events)
+        reader = StoreReader(reactor, context.store_address, feed)
+        in_reactor(reader.start)
+        context.add_cleanup(in_reactor, reader.stop)
+
+
+@when("a site reads the store")
+def step_read(context):
+    read_store(context, WATCH_S)
+
+
+@when("a site reads the store with watches of {watch_s:g} s")
+def step_read_short(context, watch_s):
+    read_store(context, watch_s)
+
+
+def wait_for(condition, limit_s):
+    """Wait until the condition holds; return after how long."""
+    begin = time.monotonic()
+    while not in_reactor(condition):
+        waited_s = time.monotonic() - begin
+        assert waited_s < limit_s, f"not within {limit_s} s"
+        time.sleep(POLL_S)
+    return time.monotonic() - begin
+
+
+@then(
+    "within {limit:g} s it knows {count:d} targets, version {version:d}"
+    " and {evacuated:d} evacuated domain"
+)
+def step_knows(context, limit, count, version, evacuated):
+    site = context.site
+
+    def knows():
+        return (
+            site.is_known
+            and len(site.targets) == count
+            and site.routes.version == version
+            and len(site.placement.evacuated) == evacuated
+        )
+
+    wait_for(knows, limit)
+
+
+@when("a target is added, one drains, one leaves and version {version:d} is written")
+def step_changes(context, version):
+    def change():
+        api = context.api
+        api.put(objects.TARGETS, "i-9999", TARGET)
+        api.put(objects.TARGETS, "i-0001", {**TARGET, "state": "draining"})
+        api.delete(objects.TARGETS, "i-0002")
+        spec = {**CONFIGURATION, "version": version}
+        api.put(objects.CONFIGURATIONS, "main", spec)
+
+    in_reactor(change)
+
+
+@then("one of them drains")
+def step_drains(context):
+    wait_for(lambda: sum(t.draining for t in context.site.targets) == 1, 1.0)
+
+
+@when(
+    "the store {trouble} for {seconds:g} s,"
+    " and version {version:d} is written meanwhile"
+)
+def step_trouble(context, trouble, seconds, version):
+    api = context.api
+
+    def begin():
+        if trouble == "forgets its history":
+            api.compact()
+        else:
+            api.faults = StoreFaults(**vars(TROUBLES[trouble]))
+        spec = {**CONFIGURATION, "version": version}
+        api.put(objects.CONFIGURATIONS, "main", spec)
+
+    in_reactor(begin)
+    time.sleep(seconds)
+    context.least = in_reactor(lambda: len(context.site.targets))
+    if seconds:
+        in_reactor(lambda: setattr(api, "faults", StoreFaults()))
+
+
+@when("the open watches go silent for good, and version {version:d} is written")
+def step_silent_watches(context, version):
+    def begin():
+        api = context.api
+        api.hush()
+        spec = {**CONFIGURATION, "version": version}
+        api.put(objects.CONFIGURATIONS, "main", spec)
+
+    in_reactor(begin)
+
+
+@then("the site knows version {version:d} within {limit:g} s of the end")
+def step_recovers(context, version, limit):
+    took_s = wait_for(lambda: context.site.routes.version == version, limit)
+    print(f"after {took_s:.2f} s")
+
+
+@then("nothing that it knew was lost meanwhile")
+def step_kept(context):
+    assert context.least == 120, context.least
+
+
+@then("a feed that lists in two pages keeps the newer state of an object")
+def step_two_pages(context):
+    class Taker:
+        def __init__(self):
+            self.values = {}
+
+        def take_list(self, items, after_loss, now):
+            self.values = {item.name: item.value for item in items}
+
+        def take_change(self, change, now):
+            self.values[change.item.name] = change.item.value
+
+    taker = Taker()
+    feed = Feed("kind", 5.0, taker, Recorder())
+    feed.take_page(Page((Item("a", 3, "a3"),), True, 10), 0.0)
+    assert feed.next_call().after == "a"
+    feed.take_page(Page((Item("b", 12, "b12"),), False, 13), 0.1)
+    assert feed.next_call().revision == 10, "changes between the pages come again"
+    earlier = Change(Item("b", 11, "b11"), False)
+    feed.take_changes(Changes((earlier,), 13), 0.2)
+    assert taker.values == {"a": "a3", "b": "b12"}, taker.values
+
+
+@when("a site reads the store, which {trouble} from the start")
+def step_turned_away(context, trouble):
+    context.api.faults = StoreFaults(**vars(TROUBLES[trouble]))
+    read_store(context, WATCH_S)
+
+
+@then("it makes at most {calls:d} calls in {seconds:g} s")
+def step_few_calls(context, calls, seconds):
+    time.sleep(seconds)
+    made = in_reactor(lambda: len(context.api.calls))
+    assert 0 < made <= calls, made
--- /dev/null
+++ b/tests/support/direct_site.py
@@ -0,0 +1,208 @@
+"""A site with direct return under a paused clock: real entries, no sockets.
+
+Entries are the real port, steering and site; targets and callers are the
+stand-ins' flow ends. Packets take a millisecond, and are lost as told.
+"""
+
+import random
+from collections import Counter
+
+from twisted.internet.task import Clock
+
+from kumquatshift.direct.placement import Placement
+from kumquatshift.direct.routes import Configuration, Route, ServiceLimits, Share
+from kumquatshift.direct.site import Site
+from kumquatshift.direct.steering import Steering
+from kumquatshift.direct.targets import Report
+from kumquatshift.direct.warmup import Warmup, WarmupBounds
+from kumquatshift.platform.packets import caller_host, place_of
+from kumquatshift.platform.port import PacketPort
+from kumquatshift.standins.direct_flows import FlowCaller, FlowTarget, Head
+
+WAY_S = 0.001
+STEP_S = 0.005
+PLACE = ("198.18.0.1", 443)
+SERVICE = "tills"
+PORT = 6080
+
+
+class Recorder:
+    """Keeps events in place of a log."""
+
+    def __init__(self):
+        self.lines = []
+
+    def emit(self, event, **inputs):
+        self.lines.append((event, inputs))
+
+    def count(self, event):
+        return sum(1 for each, _ in self.lines if each is event)
+
+    def first(self, event):
+        return next((inputs for each, inputs in self.lines if each is event), None)
+
+
+class NoSocket:
+    """Takes what a port sends."""
+
+    def __init__(self, send):
+        self._send = send
+
+    def getsockname(self):
+        return "10.0.0.1", PORT
+
+    def sendto(self, data, place):
+        self._send(data, place)
+
+
+class DirectEntry:
+    """One entry of the site."""
+
+    def __init__(self, net, domain, knows_all=True):
+        self.events = Recorder()
+        self.domain = domain
+        warmup = Warmup(WarmupBounds(1.5, 5), domain)
+        self.warmup = warmup
+        placement = Placement(domain, warmup)
+        self.site = Site(placement, self.events)
+        self.steering = Steering(
+            self.site.routes, self.site.targets, placement, self.events
+        )
+        self.steering.knows_all_routes = lambda now: knows_all
+        self.steering.knows_all_targets = lambda now: knows_all
+        self.is_up = True
+        sock = NoSocket(net.from_entry)
+        self.port = PacketPort(net.clock, sock, self.steering, self.events)
+
+    def receive(self, data):
+        if self.is_up:
+            self.port.handle(data, self.port.now())
+
+
+class DirectSite:
+    """Entries, targets and callers, and the ways between them."""
+
+    def __init__(self, seed=1):
+        self.clock = Clock()
+        self.clock.advance(1000)
+        self.rng = random.Random(seed)
+        self.loss = 0.0
+        self.entries = []
+        self.targets = {}
+        self.reports = {}
+        self.callers = {}
+        self.cut = set()
+        self.across = Counter()
+        self.cfg = None
+        self.configure()
+
+    def configure(self, service=SERVICE, version=1, cold_per_s=0.0, places=(PLACE,)):
+        routes = tuple(
+            Route(f"r{n}", place_of(*place), (Share(service, 1),))
+            for n, place in enumerate(places)
+        )
+        limits = (ServiceLimits(service, cold_per_s, 2000),)
+        self.cfg = Configuration(version, routes, 15.0, limits)
+        for entry in self.entries:
+            entry.site.put_configuration(self.cfg, "test")
+
+    def add_entry(self, domain, knows_all=True):
+        entry = DirectEntry(self, domain, knows_all)
+        self.entries.append(entry)
+        self.inform(entry)
+        return entry
+
+    def inform(self, entry):
+        """Tell an entry all that the store has."""
+        entry.site.put_configuration(self.cfg, "test")
+        now = self.clock.seconds()
+        entry.site.list_targets(self.reports.values(), (), now)
+        entry.site.list_evacuations(())
+
+    def add_target(self, name, domain, service=SERVICE, cold_s=0.0, work_s=0.02):
+        number = len(self.targets) + 1
+        address = (f"10.9.0.{number}", 8000)
+        key = number.to_bytes(8, "big")
+        report = Report(
+            name, key, number, service, domain, address, 2, warms_for_s=cold_s
+        )
+        target = FlowTarget(self.clock, key, self.to_caller, work_s)
+        target.domain = domain
+        self.targets[address] = target
+        self.reports[name] = report
+        for entry in self.entries:
+            entry.site.put_target(report, self.clock.seconds())
+        return target
+
+    def unlist(self, name):
+        """Take a target off the store's list."""
+        del self.reports[name]
+        for entry in self.entries:
+            entry.site.remove_target(name, self.clock.seconds())
+
+    def drain(self, name):
+        self.reports[name] = self.reports[name]._replace(drains=True)
+        for entry in self.entries:
+            entry.site.put_target(self.reports[name], self.clock.seconds())
+
+    def target(self, name):
+        return self.targets[self.reports[name].address]
+
+    def add_caller(self, entries=None, place=PLACE, **kinds):
+        """Add a caller whose packets come to one of ``entries``."""
+        number = len(self.callers) + 1
+        source = place_of(f"100.64.{number >> 8}.{number & 255}", 0)[:4]
+        packed = place_of(*place)
+        ends = (source, 1000, packed[:4], place[1])
+        caller = FlowCaller(self.clock, ends, self._sender(entries), **kinds)
+        self.callers[source] = caller
+        return caller
+
+    def run(self, seconds, step_s=0.001):
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+
+    def _sender(self, entries):
+        def send(data):
+            able = [e for e in entries or self.entries if e.is_up]
+            if able:
+                # The routers' hash over the entries in rotation.
+                head = Head.unpack(data)
+                number = head.source_port + sum(head.source)
+                self._carry(able[number % len(able)].receive, data)
+
+        return send
+
+    def from_entry(self, data, place):
+        address, port = place
+        if port == PORT:
+            self.to_caller(data)
+            return
+        target = self.targets.get(place)
+        if target is not None and target.domain not in self.cut:
+            self._carry(target.receive, data)
+
+    def to_caller(self, data):
+        caller = self.callers.get(Head.unpack(data).place)
+        if caller is not None:
+            self._carry(caller.receive, data)
+
+    def _carry(self, receive, data):
+        if self.rng.random() >= self.loss:
+            self.clock.callLater(WAY_S, receive, data)
+
+
+def load(site, callers, per_s, seconds):
+    """Let callers send requests in turn, ``per_s`` together; return them."""
+    start = {caller: len(caller.requests) for caller in callers}
+    gap_s = 1 / per_s
+    for number in range(round(seconds * per_s)):
+        caller = callers[number % len(callers)]
+        if all(r.outcome is not None for r in caller.requests[-1:]):
+            caller.ask(f"{id(caller) & 0xFFFF}-{number}".encode())
+        site.run(gap_s, min(gap_s, STEP_S))
+    site.run(3.0, STEP_S)
+    return [r for caller in callers for r in caller.requests[start[caller] :]]
+
+
+__all__ = ["PLACE", "SERVICE", "DirectSite", "caller_host", "load"]
