--- a/kumquatshift/adapters/epoll.py
+++ b/kumquatshift/adapters/epoll.py
@@ -56,11 +56,16 @@
 
 
 class EpollReactor:
-    """One loop on one thread: readers, writers, delayed calls and signals."""
+    """One loop on one thread: readers, writers, delayed calls and signals.
+
+    ``on_error`` is told of errors that a call did not handle; without it they
+    end the loop.
+    """
 
     seconds = staticmethod(time.monotonic)
 
     def __init__(self):
+        self.on_error: Callable[[BaseException], None] | None = None
         self._epoll = select.epoll()
         self._readers: dict[int, object] = {}
         self._writers: dict[int, object] = {}
@@ -125,10 +130,10 @@
     def _dispatch(self, fd: int, events: int) -> None:
         reader = self._readers.get(fd)
         if reader is not None and events & ~select.EPOLLOUT:
-            reader.doRead()
+            self._make(reader.doRead)
         writer = self._writers.get(fd)
         if writer is not None and events & ~select.EPOLLIN:
-            writer.doWrite()
+            self._make(writer.doWrite)
 
     def _make_due_calls(self) -> None:
         now = self.seconds()
@@ -136,7 +141,16 @@
             delayed = heapq.heappop(self._calls)
             if not delayed.is_over:
                 delayed.is_over = True
-                delayed.call(*delayed.args)
+                self._make(delayed.call, *delayed.args)
+
+    def _make(self, call: Callable, *args) -> None:
+        """Make a call; a fault in it is told and does not end the others."""
+        try:
+            call(*args)
+        except Exception as exc:
+            if self.on_error is None:
+                raise
+            self.on_error(exc)
 
     def _register(self, fd: int) -> None:
         events = 0
--- a/kumquatshift/adapters/http_call.py
+++ b/kumquatshift/adapters/http_call.py
@@ -41,7 +41,7 @@
 
     def __init__(self, reactor, address: tuple[str, int]):
         self._reactor = reactor
-        self._address = address
+        self.address = address
         self._sock: socket.socket | None = None
         self._fd = -1
         self._parser = None
@@ -61,7 +61,7 @@
         """Make a call; ``on_done`` gets a `Response` or a `CallFailure`."""
         self._on_done = on_done
         self._timeout = self._reactor.callLater(timeout_s, self._time_out)
-        host, port = self._address
+        host, port = self.address
         head = f"{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         if body:
             head += "Content-Type: application/json\r\n"
@@ -145,7 +145,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        error = sock.connect_ex(self._address)
+        error = sock.connect_ex(self.address)
         if error not in (0, errno.EINPROGRESS):
             sock.close()
             return errno.errorcode.get(error, str(error))
--- a/kumquatshift/adapters/http_pages.py
+++ b/kumquatshift/adapters/http_pages.py
@@ -30,7 +30,7 @@
     body: bytes = b""
 
 
-Pages = dict[bytes, Callable[[], PageAnswer]]
+Pages = dict[bytes, Callable[[bytes], PageAnswer]]
 
 
 class PageServer(Descriptor):
@@ -64,9 +64,10 @@
         self._connections.add(_Connection(self._reactor, sock, self))
 
     def answer(self, path: bytes) -> PageAnswer:
-        """Return what a page says."""
-        page = self._pages.get(path.split(b"?")[0])
-        return page() if page is not None else PageAnswer(404)
+        """Return what a page says; it gets the query."""
+        path, _, query = path.partition(b"?")
+        page = self._pages.get(path)
+        return page(query) if page is not None else PageAnswer(404)
 
     def forget(self, conn: _Connection) -> None:
         """Note that a connection is closed."""
--- /dev/null
+++ b/kumquatshift/adapters/neighbours.py
@@ -0,0 +1,149 @@
+"""The other entries: heartbeats on time, and answers to what they ask."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ..direct.feed import Feed
+from ..direct.lifecycle import Lifecycle
+from ..direct.members import (
+    ASK_ALONE_EVERY_S,
+    ASK_AT_S,
+    BEAT_S,
+    READER_BEAT_S,
+    Beat,
+    Member,
+    Members,
+)
+from ..direct.suspicion import Suspicion
+from ..direct.warmup import Warmup
+from .http_pages import PageAnswer, PageServer
+from .peers import NEWS_PATH, PeerPort, asked_for, news_to_bytes
+
+# News that came and suspicions that arose meanwhile go out together.
+PROMPT_S = 0.01
+
+
+class Neighbours:
+    """Speaks with the other entries for one entry."""
+
+    def __init__(
+        self,
+        reactor,
+        members: Members,
+        suspicion: Suspicion,
+        feeds: dict[str, Feed],
+        warmup: Warmup,
+        lifecycle: Lifecycle,
+    ):
+        self.wake: list[Callable[[], None]] = []
+        self._reactor = reactor
+        self._members = members
+        self._suspicion = suspicion
+        self._feeds = feeds
+        self._warmup = warmup
+        self._lifecycle = lifecycle
+        self._incarnation = time.time_ns()
+        self._told: tuple = ()
+        self._beat = None
+        self._port = None
+
+    def start(self) -> None:
+        """Open the port, and begin to speak."""
+        address = self._members.me.address
+        self._port = PeerPort(
+            self._reactor, address, self._hear, self._name, self._members.hear_of
+        )
+        PageServer(self._reactor, address, {NEWS_PATH: self._news_page})
+        for after_s in ASK_AT_S:
+            self._reactor.callLater(after_s, self._ask)
+        self._reactor.callLater(ASK_ALONE_EVERY_S, self._ask_alone)
+        self._send_beat()
+
+    def beat_now(self) -> None:
+        """Send the next heartbeat at once, since something has changed."""
+        if self._beat is not None and self._beat.active():
+            self._beat.cancel()
+        self._beat = self._reactor.callLater(PROMPT_S, self._send_beat)
+
+    def check(self) -> None:
+        """Send a heartbeat if what it tells has changed."""
+        if self._state() != self._told:
+            self.beat_now()
+
+    def _send_beat(self) -> None:
+        now = self._reactor.seconds()
+        self._members.expire(now)
+        names = self._members.names()
+        self._warmup.entries = len(names)
+        self._warmup.rank = names.index(self._members.me.name)
+        self._told = self._state()
+        self._port.send_beat(self._make_beat(now), self._members.addresses())
+        reads = any(feed.is_reader for feed in self._feeds.values())
+        wait_s = READER_BEAT_S if reads else BEAT_S
+        self._beat = self._reactor.callLater(wait_s, self._send_beat)
+
+    def _make_beat(self, now: float) -> Beat:
+        ticks = [feed.tick(now) for feed in self._feeds.values()]
+        me = self._members.me
+        return Beat(
+            me.name,
+            me.domain,
+            me.address,
+            self._incarnation,
+            self._lifecycle.is_stopping,
+            all(feed.reaches_store(now) for feed in self._feeds.values()),
+            tuple(tick for tick in ticks if tick is not None),
+            self._suspicion.suspects(now),
+            self._suspicion.objections(now),
+        )
+
+    def _state(self) -> tuple:
+        """Return what other entries should hear of without delay."""
+        now = self._reactor.seconds()
+        return (
+            tuple(feed.changed for feed in self._feeds.values()),
+            {(s.name, s.complaints) for s in self._suspicion.suspects(now)},
+            {objection.name for objection in self._suspicion.objections(now)},
+        )
+
+    def _hear(self, beat: Beat) -> None:
+        now = self._reactor.seconds()
+        self._members.hear(beat, now)
+        if beat.domain != self._members.me.domain:
+            return
+        for suspect in beat.suspects:
+            self._suspicion.hear_suspect(suspect, beat.name, now)
+        for answering in beat.objections:
+            self._suspicion.hear_answering(answering, now)
+        self.check()
+        for wake in self.wake:
+            wake()
+
+    def _name(self, asking: Member) -> tuple[Member, ...]:
+        """Answer which entries of the asking one's domain are heard."""
+        known = (*self._members.domain_members(asking.domain), self._members.me)
+        self._members.hear_of((asking,))
+        self._members.note_asking(asking, self._reactor.seconds())
+        return tuple(m for m in known if m.domain == asking.domain)
+
+    def _ask(self) -> None:
+        self._port.ask(self._members.me, self._members.seeds())
+
+    def _ask_alone(self) -> None:
+        self._members.forget_named()
+        if not self._members.peers():
+            self._ask()
+        self._reactor.callLater(ASK_ALONE_EVERY_S, self._ask_alone)
+
+    def _news_page(self, query: bytes) -> PageAnswer:
+        try:
+            kind, since = asked_for(query)
+        except ValueError:
+            return PageAnswer(404)
+        feed = self._feeds.get(kind)
+        news = feed and feed.news_since(since, self._reactor.seconds())
+        if news is None:
+            return PageAnswer(503)
+        return PageAnswer(200, news_to_bytes(news))
--- /dev/null
+++ b/kumquatshift/adapters/peers.py
@@ -0,0 +1,163 @@
+"""Heartbeats between entries over UDP, and their news over HTTP."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+
+from ..direct.feed import Change, Item, NewsAnswer
+from ..direct.members import Beat, Member, Tick
+from ..direct.suspicion import Answering, Suspect
+from .epoll import Descriptor
+
+NEWS_PATH = b"/news"
+RECEIVE_BYTES = 65_536
+BATCH_DATAGRAMS = 64
+
+
+class UnreadableNewsError(ValueError):
+    """Another entry sent what can not be read."""
+
+
+class PeerPort(Descriptor):
+    """Sends and takes heartbeats, questions for members and their answers."""
+
+    def __init__(
+        self,
+        reactor,
+        address: tuple[str, int],
+        on_beat: Callable[[Beat], None],
+        on_question: Callable[[Member], tuple[Member, ...]],
+        on_members: Callable[[tuple[Member, ...]], None],
+    ):
+        self.malformed = 0
+        self.lost = 0
+        self._on_beat = on_beat
+        self._on_question = on_question
+        self._on_members = on_members
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        """Return the descriptor of the socket."""
+        return self._sock.fileno()
+
+    def send_beat(self, beat: Beat, addresses: list[tuple[str, int]]) -> None:
+        """Send a heartbeat to other entries."""
+        data = json.dumps({"beat": beat}).encode()
+        for address in addresses:
+            self._send(data, address)
+
+    def ask(self, me: Member, addresses: tuple[tuple[str, int], ...]) -> None:
+        """Ask entries which others of the own domain they hear."""
+        data = json.dumps({"question": me}).encode()
+        for address in addresses:
+            self._send(data, address)
+
+    def doRead(self) -> None:  # noqa: N802
+        """Take the datagrams that wait."""
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                data, sender = self._sock.recvfrom(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.lost += 1  # A peer's port was closed; it says so itself.
+                return
+            try:
+                self._take(json.loads(data), sender)
+            except (ValueError, TypeError, KeyError, IndexError):
+                self.malformed += 1
+
+    def _take(self, message: dict, sender: tuple[str, int]) -> None:
+        if "beat" in message:
+            self._on_beat(_beat(message["beat"]))
+        elif "question" in message:
+            members = self._on_question(_member(message["question"]))
+            self._send(json.dumps({"members": members}).encode(), sender)
+        elif "members" in message:
+            self._on_members(tuple(_member(each) for each in message["members"]))
+        else:
+            self.malformed += 1
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, address)
+        except OSError:
+            self.lost += 1  # As good as lost on the way; the next one follows.
+
+
+def news_path(kind: str, since: int) -> str:
+    """Return the path on which an entry is asked for its news."""
+    return f"{NEWS_PATH.decode()}?{kind}&{since}"
+
+
+def asked_for(query: bytes) -> tuple[str, int]:
+    """Return what a query asks for; raises `ValueError`."""
+    kind, _, since = query.decode().partition("&")
+    return kind, int(since)
+
+
+def news_to_bytes(news: NewsAnswer) -> bytes:
+    """Encode the answer to a question for news."""
+    return json.dumps(news).encode()
+
+
+def news_from_bytes(body: bytes) -> NewsAnswer:
+    """Decode the answer to a question for news; raises `UnreadableNewsError`."""
+    try:
+        is_whole, items, changes, tick = json.loads(body)
+        return NewsAnswer(
+            bool(is_whole),
+            tuple(_item(each) for each in items),
+            tuple(Change(_item(item), bool(deleted)) for item, deleted in changes),
+            _tick(tick),
+        )
+    except (ValueError, TypeError, IndexError) as exc:
+        raise UnreadableNewsError(f"news: {exc!r}") from exc
+
+
+def _beat(wire: list) -> Beat:
+    name, domain, address, incarnation, leaving, reaches, *lists = wire
+    ticks, suspects, objections = lists
+    return Beat(
+        str(name),
+        str(domain),
+        _address(address),
+        int(incarnation),
+        bool(leaving),
+        bool(reaches),
+        tuple(_tick(each) for each in ticks),
+        tuple(
+            Suspect(str(name), int(start), int(complaints), float(silent_s))
+            for name, start, complaints, silent_s in suspects
+        ),
+        tuple(
+            Answering(str(name), int(start), float(ago_s))
+            for name, start, ago_s in objections
+        ),
+    )
+
+
+def _member(wire: list) -> Member:
+    name, domain, address = wire
+    return Member(str(name), str(domain), _address(address))
+
+
+def _address(wire: list) -> tuple[str, int]:
+    host, port = wire
+    socket.inet_aton(host)
+    return str(host), int(port)
+
+
+def _tick(wire: list) -> Tick:
+    kind, changed, revision, age_s = wire
+    return Tick(str(kind), int(changed), int(revision), float(age_s))
+
+
+def _item(wire: list) -> Item:
+    name, revision, value = wire
+    return Item(str(name), int(revision), value)
--- a/kumquatshift/direct/events.py
+++ b/kumquatshift/direct/events.py
@@ -44,6 +44,7 @@
     DOMAIN_RETURNED = "domain returned"
     PEER_JOINED = "peer joined"
     PEER_LOST = "peer lost"
+    NEWS_FAILED = "news failed"
     READER_TAKEN = "reader duty taken"
     READER_LEFT = "reader duty left"
     FLOW_OPENED = "flow opened"
@@ -51,4 +52,5 @@
     FLOW_REFUSED = "flow refused"
     FLOW_RESET = "flow reset"
     PACKET_DROPPED = "packet dropped"
+    INTERNAL_ERROR = "internal error"
     LINES_LEFT_OUT = "lines left out"
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -1,6 +1,7 @@
-"""When to list and when to watch: one feed for each kind of object.
+"""When to list, to watch, or to follow: one feed for each kind of object.
 
-A feed lists its kind once, then watches for changes, and starts over when the
+A feed lists its kind once. Then it follows other entries of its domain while
+their news is fresh, or watches the store itself; it starts over when the
 history is gone or the store was out of reach. It makes no call itself: the
 driver asks for the next one and tells what came of it. A watch is never longer
 than the bounds on reacting to a change allow, since a connection that has gone
@@ -12,12 +13,15 @@
 from typing import NamedTuple
 
 from .events import Event
+from .members import Tick
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Protocol
 
     from .events import Events
+    from .members import Members
+    from .news import News, Source
 
     class FeedTarget(Protocol):
         """Who takes in what a feed brings."""
@@ -48,10 +52,67 @@
 RETRY_S = 0.3
 RETRY_OVERLOADED_S = 1.0
 
+# What a follower needs to read for itself once its news is too old: a list
+# of all objects, from a store that is not slow.
+SELF_READ_S = 0.6
+
+# Two heartbeats of a reader: one may be lost.
+TELLING_S = 1.0
+
+# What a watch may take beyond the time that it asked for; the rest of the store's
+# time is in the watch itself.
+READER_GRACE_S = 0.2
+
+# A watch ends, is noticed to be silent, and is made up for by a list: so much
+# less than the bounds is its length.
+WATCH_MARGIN_S = 2.0
+
+# However short the bounds are: more calls than this cost more than they tell.
+MIN_WATCH_S = 0.5
+MIN_FRESH_S = 1.5
+
+# Another entry of the domain answers within milliseconds.
+NEWS_TIMEOUT_S = 0.5
+
+# A store that has refused an entry is asked again after this time, if others
+# of the domain reach it.
+TRY_AGAIN_S = 10.0
+
+# What an open watch takes to bring a change: the store's answer and the way.
+DELIVERY_S = 0.1
+
+# Changes kept for entries that follow; a lost heartbeat or two is made up.
+HISTORY_CHANGES = 400
+
 # What a watch may take beyond the time that it asked for.
 WATCH_GRACE_S = 0.8
 
 
+class Pace(NamedTuple):
+    """How long watches last, and how old news may be; all in seconds.
+
+    ``watch_s`` is for an entry that reads for itself. A reader proves with each
+    ``reader_watch_s`` that its watch works, and others follow it while its news
+    is no older than ``fresh_s``.
+    """
+
+    watch_s: float
+    reader_watch_s: float = 1.2
+    fresh_s: float = 2.4
+
+    @classmethod
+    def from_bounds(cls, stable_window_s: float, shortest_s: float) -> Pace:
+        """Work the times out from the shortest bound on reacting to a change.
+
+        The bound holds for an entry that has been undisturbed for the stable
+        window, so its own watch may be silent for that long too.
+        """
+        fresh_s = max(MIN_FRESH_S, shortest_s - SELF_READ_S)
+        reader_watch_s = max(MIN_WATCH_S, fresh_s - TELLING_S - READER_GRACE_S)
+        watch_s = max(MIN_WATCH_S, stable_window_s + shortest_s - WATCH_MARGIN_S)
+        return cls(watch_s, reader_watch_s, fresh_s)
+
+
 class ListCall(NamedTuple):
     """Read a page of objects, those with names after ``after``."""
 
@@ -69,6 +130,15 @@
     timeout_s: float
 
 
+class NewsCall(NamedTuple):
+    """Ask another entry for what it knows beyond ``since``; -1 for all."""
+
+    kind: str
+    address: tuple[str, int]
+    since: int
+    timeout_s: float
+
+
 class Item(NamedTuple):
     """One object as the store has it; ``value`` is what the adapter decoded."""
 
@@ -99,6 +169,15 @@
     revision: int
 
 
+class NewsAnswer(NamedTuple):
+    """What another entry knows: all items, or the changes asked for."""
+
+    is_whole: bool
+    items: tuple[Item, ...]
+    changes: tuple[Change, ...]
+    tick: Tick
+
+
 class Failure:
     """Why a call brought nothing: the closed list."""
 
@@ -113,39 +192,83 @@
 class Feed:
     """One kind of object, kept up to date."""
 
-    def __init__(self, kind: str, watch_s: float, target: FeedTarget, events: Events):
+    def __init__(self, kind: str, pace: Pace, target: FeedTarget, events: Events):
         self.kind = kind
         self.is_current = False
         self.confirmed_at = 0.0
-        self._watch_s = watch_s
+        self._pace = pace
         self._target = target
         self._events = events
+        self._members: Members | None = None
+        self._news: News | None = None
+        self.is_reader = False
         self._revision: int | None = None
+        self._known: int = -1
+        self.changed = -1
+        self._items: dict[str, Item] = {}
+        self._history: list[tuple[int, Change]] = []
+        self._history_from = 0
         self._pages: list[Item] = []
         self._first_revision = 0
         self._not_before = 0.0
         self._timeout_s = FIRST_TIMEOUT_S
         self._lost_at: float | None = None
-        self._revisions: dict[str, int] = {}
-
-    def is_complete(self, now: float) -> bool:
-        """Tell whether a change that happened a moment ago would be known.
-
-        That is so while a watch is open, not while a batch gathers.
+        self._failed_at = 0.0
+        self._is_watching = False
+        self._news_failed_at = -1.0
+
+    def follow(self, members: Members, news: News) -> None:
+        """Learn from other entries too."""
+        self._members = members
+        self._news = news
+
+    def reaches_store(self, now: float) -> bool:
+        """Tell whether nothing speaks against reading the store from here."""
+        return self._lost_at is None or now - self._failed_at > TRY_AGAIN_S
+
+    def tick(self, now: float) -> Tick | None:
+        """Return how far the feed's knowledge goes, or None if it has none."""
+        if self._known < 0:
+            return None
+        age_s = round(now - self.confirmed_at, 3)
+        return Tick(self.kind, self.changed, self._known, age_s)
+
+    def known_until(self, now: float) -> float:
+        """Return the time up to which every change is known.
+
+        An open watch brings changes at once; else it is when the store last
+        confirmed what is known.
         """
-        return self.is_current and now - self._not_before > BATCH_S
+        if self._is_watching and self.is_current:
+            return now - DELIVERY_S
+        return self.confirmed_at
 
     def wait_s(self, now: float) -> float:
         """Return how long to wait before the next call."""
         return max(0.0, self._not_before - now)
 
-    def next_call(self) -> ListCall | WatchCall:
-        """Return the call to make now."""
+    def next_call(self, now: float) -> ListCall | WatchCall | NewsCall | None:
+        """Return the call to make now; None while following brings nothing."""
+        shares = self._members is not None and self._members.shares()
+        self._note_duty(
+            shares and self._members.is_reader(self.kind, self.reaches_store(now))
+        )
+        if self._news is not None and now - self._news_failed_at > RETRY_S:
+            if self._known < 0 and self._lost_at is not None:
+                source = self._news.best(now)
+                if source is not None:
+                    return self._ask(source, -1)
+            if shares and not self.is_reader and self._known >= 0:
+                source = self._news.newest(now)
+                if source is not None:
+                    return self._follow(source, now)
         if self._revision is None:
             after = self._pages[-1].name if self._pages else ""
             return ListCall(self.kind, after, self._timeout_s)
-        timeout_s = self._watch_s + WATCH_GRACE_S
-        return WatchCall(self.kind, self._revision, self._watch_s, timeout_s)
+        self._is_watching = True
+        pace = self._pace
+        watch_s = pace.reader_watch_s if self.is_reader else pace.watch_s
+        return WatchCall(self.kind, self._revision, watch_s, watch_s + WATCH_GRACE_S)
 
     def take_page(self, page: Page, now: float) -> None:
         """Take in a page; the last one completes the list."""
@@ -157,23 +280,50 @@
             return
         items, self._pages = tuple(self._pages), []
         self._revision = self._first_revision
-        self._revisions = {item.name: item.revision for item in items}
-        after_loss = self._lost_at is not None
-        self._note_answer(now)
-        self._target.take_list(items, after_loss, now)
+        self._take_list(items, self._first_revision, now)
 
     def take_changes(self, changes: Changes, now: float) -> None:
         """Take in what a watch brought."""
-        self._revision = changes.revision
+        self._is_watching = False
+        self._revision = self._known = changes.revision
         self._note_answer(now)
-        for change in changes.changes:
-            if self._is_news(change.item):
-                self._target.take_change(change, now)
+        self._apply(changes.changes, changes.revision, now)
         if changes.changes:
             self._not_before = now + BATCH_S
 
+    def take_news(self, news: NewsAnswer, now: float) -> None:
+        """Take in what another entry knows."""
+        if news.tick.revision < self._known:
+            return
+        if news.is_whole:
+            self._take_items(news.items, news.tick.changed, now)
+        else:
+            self._apply(news.changes, news.tick.changed, now)
+        self._known = news.tick.revision
+        self.changed = max(self.changed, news.tick.changed)
+        self.confirmed_at = max(self.confirmed_at, now - news.tick.age_s)
+        if self._revision is not None:
+            self._revision = self._known
+
+    def take_news_failure(self, detail: str, now: float) -> None:
+        """Note that another entry did not answer; the store is read instead."""
+        self._news_failed_at = now
+        self._events.emit(Event.NEWS_FAILED, kind=self.kind, detail=detail)
+
+    def news_since(self, revision: int, now: float) -> NewsAnswer | None:
+        """Return what an entry lacks whose knowledge ends at ``revision``."""
+        tick = self.tick(now)
+        if tick is None:
+            return None
+        if revision < self._history_from:
+            return NewsAnswer(True, tuple(self._items.values()), (), tick)
+        changes = tuple(change for at, change in self._history if at > revision)
+        return NewsAnswer(False, (), changes, tick)
+
     def take_failure(self, failure: str, detail: str, now: float) -> None:
         """Note that a call failed; the feed lists anew."""
+        self._is_watching = False
+        self._failed_at = now
         self._revision = None
         self._pages = []
         if failure == Failure.EXPIRED:
@@ -195,12 +345,63 @@
             longer_s = self._timeout_s * TIMEOUT_GROWTH
             self._timeout_s = min(LONGEST_TIMEOUT_S, longer_s)
 
+    def _note_duty(self, is_reader: bool) -> None:
+        if is_reader != self.is_reader:
+            self.is_reader = is_reader
+            event = Event.READER_TAKEN if is_reader else Event.READER_LEFT
+            self._events.emit(event, kind=self.kind)
+
+    def _follow(self, source: Source, now: float) -> NewsCall | None:
+        tick = source.tick
+        if tick.changed > self._known:
+            return self._ask(source, self._known)
+        self._known = max(self._known, tick.revision)
+        self.confirmed_at = max(self.confirmed_at, now - tick.age_s)
+        self.is_current = True
+        if self._revision is not None:
+            self._revision = self._known
+        return None
+
+    def _ask(self, source: Source, since: int) -> NewsCall:
+        return NewsCall(self.kind, source.address, since, NEWS_TIMEOUT_S)
+
+    def _take_list(self, items: tuple[Item, ...], revision: int, now: float) -> None:
+        after_loss = self._lost_at is not None
+        self._known = revision
+        self._note_answer(now)
+        self._remember_items(items, revision)
+        self._target.take_list(items, after_loss, now)
+
+    def _take_items(self, items: tuple[Item, ...], changed: int, now: float) -> None:
+        """Take in all that another entry knows."""
+        self._remember_items(items, changed)
+        self._target.take_list(items, self._lost_at is not None, now)
+
+    def _remember_items(self, items: tuple[Item, ...], revision: int) -> None:
+        self._items = {item.name: item for item in items}
+        self._history = []
+        self._history_from = self.changed = revision
+
+    def _apply(self, changes: tuple[Change, ...], revision: int, now: float) -> None:
+        for change in changes:
+            if self._is_news(change.item):
+                self._remember(change, revision)
+                self._target.take_change(change, now)
+
     def _is_news(self, item: Item) -> bool:
-        """Pass over changes that a later page of the list had already."""
-        if item.revision < self._revisions.get(item.name, 0):
-            return False
-        self._revisions[item.name] = item.revision
-        return True
+        """Pass over changes that were known already, such as from a later page."""
+        known = self._items.get(item.name)
+        return known is None or item.revision >= known.revision
+
+    def _remember(self, change: Change, revision: int) -> None:
+        if change.is_deleted:
+            self._items.pop(change.item.name, None)
+        else:
+            self._items[change.item.name] = change.item
+        self.changed = revision
+        self._history.append((revision, change))
+        if len(self._history) > HISTORY_CHANGES:
+            self._history_from, _ = self._history.pop(0)
 
     def _note_answer(self, now: float) -> None:
         if self._lost_at is not None:
--- /dev/null
+++ b/kumquatshift/direct/members.py
@@ -0,0 +1,187 @@
+"""Which entries there are, and which of them read the store for the others.
+
+Entries of a failure domain send each other heartbeats. Two of them, by
+rendezvous hashing over those that reach the store, keep watches open and tell
+the rest what is new; nobody is elected, and one reader too many or too few for
+a moment costs a few calls. Nothing here needs to be agreed on: an entry that
+hears nobody reads for itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from .events import Event
+from .suspicion import Answering, Suspect
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from .events import Events
+
+BEAT_S = 1.0
+
+# A reader's heartbeat also tells how old its news is, so it comes more often.
+READER_BEAT_S = 0.5
+
+# Three heartbeats and a half: two in a row may be lost.
+LOST_AFTER_S = 3.5
+
+READERS = 2
+
+# Below this many entries a domain's own watches cost fewer calls than readers
+# whose short watches prove every second that they work.
+MIN_SHARING = 6
+
+# A seed remembers who has asked it, so that those of one domain find each
+# other through a seed in another; entries ask again when they are alone.
+REMEMBER_ASKED_S = 30.0
+MAX_ASKED = 2000
+
+# Whom to ask for the other entries: soon after the start, when all start at
+# once, and then while nobody of the domain is heard.
+ASK_AT_S = (0.0, 0.5, 1.5, 4.0)
+ASK_ALONE_EVERY_S = 5.0
+
+
+class Tick(NamedTuple):
+    """How far an entry's knowledge of one kind of object goes.
+
+    All changes up to ``revision`` are known; the last one came with
+    ``changed``. ``age_s`` is how long ago the store last confirmed that.
+    """
+
+    kind: str
+    changed: int
+    revision: int
+    age_s: float
+
+
+class Beat(NamedTuple):
+    """What an entry tells the others of its domain about itself."""
+
+    name: str
+    domain: str
+    address: tuple[str, int]
+    incarnation: int
+    is_leaving: bool
+    reaches_store: bool
+    ticks: tuple[Tick, ...]
+    suspects: tuple[Suspect, ...]
+    objections: tuple[Answering, ...]
+
+
+class Member(NamedTuple):
+    """Where an entry is, for those that have not heard it yet."""
+
+    name: str
+    domain: str
+    address: tuple[str, int]
+
+
+class Heard(NamedTuple):
+    """A heartbeat, and when it came."""
+
+    beat: Beat
+    at: float
+
+
+class Members:
+    """The entries that one entry knows of."""
+
+    def __init__(self, me: Member, seeds: Iterable[tuple[str, int]], events: Events):
+        self.me = me
+        self._seeds = tuple(seed for seed in seeds if seed != me.address)
+        self._events = events
+        self._heard: dict[str, Heard] = {}
+        self._named: dict[str, Member] = {}
+        self._asked: dict[str, tuple[Member, float]] = {}
+
+    def hear(self, beat: Beat, now: float) -> None:
+        """Take in a heartbeat."""
+        if beat.name == self.me.name:
+            return
+        if beat.name not in self._heard and beat.domain == self.me.domain:
+            self._events.emit(Event.PEER_JOINED, peer=beat.name)
+        self._heard[beat.name] = Heard(beat, now)
+        self._named.pop(beat.name, None)
+
+    def hear_of(self, members: Iterable[Member]) -> None:
+        """Take in where other entries of the own domain are."""
+        for member in members:
+            unheard = member.name not in self._heard and member.name != self.me.name
+            if unheard and member.domain == self.me.domain:
+                self._named[member.name] = member
+
+    def note_asking(self, member: Member, now: float) -> None:
+        """Keep where an entry of another domain is, for others of that domain."""
+        if len(self._asked) < MAX_ASKED or member.name in self._asked:
+            self._asked[member.name] = member, now
+
+    def expire(self, now: float) -> None:
+        """Forget entries that have not been heard for long."""
+        for name, (_, at) in list(self._asked.items()):
+            if now - at > REMEMBER_ASKED_S:
+                del self._asked[name]
+        for name, heard in list(self._heard.items()):
+            if now - heard.at > LOST_AFTER_S:
+                del self._heard[name]
+                if heard.beat.domain == self.me.domain:
+                    self._events.emit(
+                        Event.PEER_LOST, peer=name, silent_s=round(now - heard.at, 3)
+                    )
+
+    def peers(self) -> list[Heard]:
+        """Return the other entries of the domain that are heard."""
+        own = self.me.domain
+        return [heard for heard in self._heard.values() if heard.beat.domain == own]
+
+    def domain_members(self, domain: str) -> tuple[Member, ...]:
+        """Return the entries of any domain that were heard or have asked."""
+        heard = {
+            beat.name: Member(beat.name, beat.domain, beat.address)
+            for beat, _ in self._heard.values()
+        }
+        asked = {name: member for name, (member, _) in self._asked.items()}
+        found = {**asked, **heard}
+        return tuple(each for each in found.values() if each.domain == domain)
+
+    def addresses(self) -> list[tuple[str, int]]:
+        """Return where heartbeats go: to the domain, heard or only named."""
+        found = {heard.beat.address for heard in self.peers()}
+        found.update(member.address for member in self._named.values())
+        return sorted(found)
+
+    def forget_named(self) -> None:
+        """Forget entries that were only named and have not answered."""
+        self._named.clear()
+
+    def seeds(self) -> tuple[tuple[str, int], ...]:
+        """Return whom to ask for other entries."""
+        return self._seeds
+
+    def names(self) -> list[str]:
+        """Return the names of the domain's entries, this one included."""
+        return sorted([self.me.name, *(heard.beat.name for heard in self.peers())])
+
+    def shares(self) -> bool:
+        """Tell whether the domain has enough entries for readers to pay."""
+        return len(self.names()) >= MIN_SHARING
+
+    def is_reader(self, kind: str, reaches_store: bool) -> bool:
+        """Tell whether this entry is one of those that read for the domain."""
+        able = [
+            heard.beat.name
+            for heard in self.peers()
+            if heard.beat.reaches_store and not heard.beat.is_leaving
+        ]
+        if reaches_store or not able:
+            able.append(self.me.name)
+        able.sort(key=lambda name: _score(kind, name), reverse=True)
+        return self.me.name in able[:READERS]
+
+
+def _score(kind: str, name: str) -> int:
+    return xxhash.xxh32_intdigest(f"{kind}/{name}".encode())
--- a/kumquatshift/direct/settings.py
+++ b/kumquatshift/direct/settings.py
@@ -44,7 +44,7 @@
     domain: str
     packets: Address
     readiness: Address
-    peer_ports: tuple[int, int]
+    peers: Address
     seeds: tuple[Address, ...]
     store: Address
     heartbeat_s: float
@@ -73,7 +73,7 @@
             domain=reader.read("entry", "domain", _text),
             packets=reader.read("entry", "packet_address", _address),
             readiness=reader.read("entry", "ready_address", _address),
-            peer_ports=reader.read("entry", "peer_ports", _ports),
+            peers=reader.read("entry", "peer_address", _address),
             seeds=reader.read("entry", "seeds", _addresses),
             store=reader.read("store", "address", _address),
             heartbeat_s=reader.read("store", "heartbeat_ms", _seconds),
@@ -150,10 +150,3 @@
     if not text.isdecimal() or not 0 < int(text) <= MAX_PORT:
         raise ValueError(f"a port from 1 to {MAX_PORT}")
     return int(text)
-
-
-def _ports(text: str) -> tuple[int, int]:
-    ports = [_port(each.strip()) for each in text.split(",")]
-    if len(ports) != 2 or ports[0] > ports[1]:
-        raise ValueError("the first and the last port of a range, such as 7720,7735")
-    return ports[0], ports[1]
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -48,13 +48,13 @@
         events: Events,
     ):
         self.flows = FlowTable()
-        self.knows_all_routes = _knows_nothing
-        self.knows_all_targets = _knows_nothing
+        self.knows_all_routes = _no
+        self.targets_known_until = _never
         self._strangers: dict[bytes, float] = {}
         self._routes = routes
         self._targets = targets
         self._placement = placement
-        self._suspicion = Suspicion(events)
+        self.suspicion = Suspicion(targets, events)
         self._events = events
 
     def decide(self, packet: Packet, now: float) -> Decision:
@@ -117,7 +117,7 @@
     def _open_again(
         self, packet: Packet, route: Route, flow: Flow, now: float
     ) -> Decision:
-        self._suspicion.note_repeat(flow, now)
+        self.suspicion.note_repeat(flow, now)
         flow.sent_at = flow.seen_at = now
         if packet.copy < REPLACING_COPY and not flow.target.suspected:
             return Forward(flow.target)
@@ -160,7 +160,7 @@
         self._note_packet(flow, packet, now)
         if packet.size and self._placement.is_gone(flow.target, now):
             return self._give_up(packet, flow, Reason.TARGET_GONE, now)
-        if packet.size and self._suspicion.is_dead(flow.target, now):
+        if packet.size and self.suspicion.is_dead(flow.target, now):
             return self._give_up(packet, flow, Reason.TARGET_SILENT, now)
         flow.sent_at = flow.seen_at = now
         flow.is_closing = flow.is_closing or packet.is_last
@@ -183,8 +183,9 @@
             if len(self._strangers) < MAX_STRANGERS:
                 self._strangers[packet.flow] = now
             return Drop(Reason.UNKNOWN_COOKIE)
-        waited = now - first >= MIN_REPEAT_GAP_S
-        if not waited or not self.knows_all_targets(now):
+        is_repeat = now - first >= MIN_REPEAT_GAP_S
+        is_settled = first < self.targets_known_until(now)
+        if not is_repeat or not is_settled or self._placement.is_relisting(now):
             return Drop(Reason.UNKNOWN_COOKIE)
         del self._strangers[packet.flow]
         self._events.emit(
@@ -203,7 +204,7 @@
         known = flow.acked >= 0
         moved = known and _is_after(packet.ack, flow.acked)
         if first or moved or (known and not packet.size and not packet.is_last):
-            self._suspicion.note_progress(flow, now)
+            self.suspicion.note_progress(flow, now)
             if flow.waiting:
                 flow.waiting = False
                 flow.target.waiting -= 1
@@ -218,7 +219,7 @@
                 flow.waiting = True
                 flow.target.waiting += 1
         elif not moved:
-            self._suspicion.note_repeat(flow, now)
+            self.suspicion.note_repeat(flow, now)
 
     def _give_up(
         self, packet: Packet, flow: Flow, reason: Reason, now: float
@@ -236,11 +237,16 @@
         return Reset(reason)
 
 
-def _knows_nothing(now: float) -> bool:
+def _no(now: float) -> bool:
     """Stand in until the feeds are there."""
     return False
 
 
+def _never(now: float) -> float:
+    """Stand in until the feeds are there."""
+    return float("-inf")
+
+
 def _is_after(number: int, other: int) -> bool:
     """Compare sequence numbers, which wrap around at 32 bits (RFC 9293, 3.4)."""
     return 0 < (number - other) & SEQUENCE_MASK < HALF_SEQUENCE
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from .events import Event
 from .flows import Flow
-from .targets import LiveTarget
+from .targets import LiveTarget, TargetTable
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -41,26 +43,43 @@
 PROBE_EVERY_S = 1.0
 
 
+# Other entries that hear of a suspicion and know better say so within this time.
+OBJECTION_S = 0.15
+
+# Heartbeats repeat an objection this long, in case the first one was lost.
+OBJECTING_S = 1.2
+
+
+class Suspect(NamedTuple):
+    """A start of a target that has stopped to answer, as an entry tells it."""
+
+    name: str
+    incarnation: int
+    complaints: int
+    silent_s: float
+
+
+class Answering(NamedTuple):
+    """A start of a target that answers, though another entry suspects it."""
+
+    name: str
+    incarnation: int
+    answered_s_ago: float
+
+
 class Suspicion:
     """Which targets have stopped to answer, as one entry sees it."""
 
-    def __init__(self, events: Events):
+    def __init__(self, targets: TargetTable, events: Events):
+        self._targets = targets
         self._events = events
+        self._objections: dict[LiveTarget, float] = {}
 
     def note_progress(self, flow: Flow, now: float) -> None:
         """Note that a flow's target has answered."""
         flow.repeats = 0
         flow.complained = False
-        target = flow.target
-        target.progress_at = now
-        target.complaints = 0
-        if target.suspected:
-            target.suspected = False
-            self._events.emit(
-                Event.TARGET_TRUSTED,
-                target=target.name,
-                silent_s=round(now - target.silent_since, 3),
-            )
+        self._trust(flow.target, now)
 
     def note_repeat(self, flow: Flow, now: float) -> None:
         """Note that a caller has sent a packet again, since nothing answered."""
@@ -78,33 +97,102 @@
             if not target.complaints:
                 target.silent_since = max(flow.stuck_since, target.progress_at)
             target.complaints += 1
-        if not target.suspected and self._is_silent(target, flow, now):
-            target.suspected = True
-            target.next_probe = now + PROBE_EVERY_S
-            self._events.emit(
-                Event.TARGET_SUSPECTED,
-                target=target.name,
-                domain=target.domain,
-                flows_stuck=target.complaints,
-                repeats=flow.repeats,
-                silent_s=round(now - target.progress_at, 3),
-            )
+        if self._is_silent(target, flow, now):
+            self._suspect(target, now, flows_stuck=target.complaints)
 
     def is_dead(self, target: LiveTarget, now: float) -> bool:
         """Tell whether a target has been silent for so long that it is dead.
 
         Its open flows are lost; callers do better to open others at once.
         """
-        if not target.suspected or now - target.progress_at <= DEAD_AFTER_S:
+        if not target.suspected or now - target.suspected_at < OBJECTION_S:
+            return False
+        complaints = target.complaints + sum(target.others_complaints.values())
+        if complaints < SUSPECTING_FLOWS:
             return False
-        return now - target.silent_since > DEAD_AFTER_S
+        silent_s = now - max(target.progress_at, target.silent_since)
+        return silent_s > DEAD_AFTER_S
+
+    def suspects(self, now: float) -> tuple[Suspect, ...]:
+        """Return the suspicions that rest on what this entry has seen."""
+        return tuple(
+            Suspect(t.name, t.incarnation, t.complaints, round(now - t.progress_at, 3))
+            for t in self._targets
+            if t.suspected and t.complaints
+        )
+
+    def objections(self, now: float) -> tuple[Answering, ...]:
+        """Return the targets that others suspect, and that answer here."""
+        for target, since in list(self._objections.items()):
+            if now - since > OBJECTING_S or target.suspected:
+                del self._objections[target]
+        return tuple(
+            Answering(t.name, t.incarnation, round(now - t.progress_at, 3))
+            for t in self._objections
+        )
+
+    def hear_suspect(self, suspect: Suspect, source: str, now: float) -> None:
+        """Take over another entry's suspicion, or object to it."""
+        target = self._find(suspect.name, suspect.incarnation)
+        if target is None:
+            return
+        answered_s_ago = now - target.progress_at
+        if not target.complaints and answered_s_ago < min(
+            suspect.silent_s, OBJECTING_S
+        ):
+            self._objections.setdefault(target, now)
+            return
+        target.others_complaints[source] = suspect.complaints
+        if not target.suspected:
+            target.silent_since = max(now - suspect.silent_s, target.progress_at)
+            self._suspect(target, now, source=source)
+
+    def hear_answering(self, answering: Answering, now: float) -> None:
+        """Take in that a target answers another entry."""
+        target = self._find(answering.name, answering.incarnation)
+        if target is None:
+            return
+        answered_at = now - answering.answered_s_ago
+        if answered_at > target.silent_since:
+            self._trust(target, max(answered_at, target.progress_at))
+
+    def _find(self, name: str, incarnation: int) -> LiveTarget | None:
+        target = self._targets.get(name)
+        if target is None or target.incarnation != incarnation:
+            return None
+        return target
 
     def _is_silent(self, target: LiveTarget, flow: Flow, now: float) -> bool:
-        if now - target.progress_at < SILENCE_S:
+        if target.suspected or now - target.progress_at < SILENCE_S:
             return False
         several = target.complaints >= SUSPECTING_FLOWS
         return several or flow.repeats >= SUSPECTING_REPEATS
 
+    def _suspect(self, target: LiveTarget, now: float, **reason: object) -> None:
+        target.suspected = True
+        target.suspected_at = now
+        target.next_probe = now + PROBE_EVERY_S
+        self._events.emit(
+            Event.TARGET_SUSPECTED,
+            target=target.name,
+            domain=target.domain,
+            silent_s=round(now - target.progress_at, 3),
+            **reason,
+        )
+
+    def _trust(self, target: LiveTarget, answered_at: float) -> None:
+        target.progress_at = answered_at
+        target.complaints = 0
+        if target.others_complaints:
+            target.others_complaints.clear()
+        if target.suspected:
+            target.suspected = False
+            self._events.emit(
+                Event.TARGET_TRUSTED,
+                target=target.name,
+                silent_s=round(answered_at - target.silent_since, 3),
+            )
+
 
 def may_probe(target: LiveTarget, now: float) -> bool:
     """Tell whether a suspected target may get a new flow that tries it out."""
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -37,7 +37,8 @@
     """One start of a target, and what this entry has seen of it.
 
     ``progress_at`` is when a packet last proved that the target answers;
-    ``complaints`` counts flows that have sent again in vain since then.
+    ``complaints`` counts flows that have sent again in vain since then, and
+    ``others_complaints`` those that other entries have told of.
     """
 
     __slots__ = (
@@ -55,11 +56,13 @@
         "name",
         "next_cold_flow",
         "next_probe",
+        "others_complaints",
         "progress_at",
         "service",
         "silent_since",
         "slots",
         "suspected",
+        "suspected_at",
         "unlisted_at",
         "waiting",
     )
@@ -72,9 +75,11 @@
         self.flows = 0
         self.waiting = 0
         self.complaints = 0
+        self.others_complaints: dict[str, int] = {}
         self.progress_at = now
         self.silent_since = now
         self.suspected = False
+        self.suspected_at = now
         self.last_picked = 0
         self.next_cold_flow = now
         self.next_probe = now
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -9,9 +9,12 @@
 
 from ..adapters.epoll import EpollReactor
 from ..adapters.http_pages import PageAnswer, PageServer
+from ..adapters.neighbours import Neighbours
 from ..direct.events import Event
-from ..direct.feed import Change, Feed, Item
+from ..direct.feed import Change, Feed, Item, Pace
 from ..direct.lifecycle import Lifecycle
+from ..direct.members import Member, Members
+from ..direct.news import News
 from ..direct.placement import Placement
 from ..direct.settings import DirectSettings, SettingsError
 from ..direct.site import Site
@@ -28,10 +31,6 @@
 SWEEP_S = 1.0
 STOP_CHECK_S = 0.1
 
-# Less than the shortest bound on a change, so that a watch which has gone
-# silent is noticed in time.
-WATCH_MARGIN_S = 2.0
-
 
 class Entry:
     """One entry, from its settings to its sockets."""
@@ -48,6 +47,7 @@
         self._settings_stamp = _stamp(settings_path)
         self._reactor = reactor
         self._log = EventLog(reactor, settings.name, flow_text)
+        reactor.on_error = self._tell_error
         bounds = settings.bounds
         warmup = Warmup(bounds.warmup, settings.domain)
         placement = Placement(settings.domain, warmup)
@@ -59,6 +59,16 @@
         self._was_ready = False
         self._readers: list[StoreReader] = []
         self._feeds: dict[str, Feed] = {}
+        me = Member(settings.name, settings.domain, settings.peers)
+        self._members = Members(me, settings.seeds, self._log)
+        self._neighbours = Neighbours(
+            reactor,
+            self._members,
+            self._steering.suspicion,
+            self._feeds,
+            warmup,
+            self._lifecycle,
+        )
         self._port = PacketPort(reactor, sock, self._steering, self._log)
         self._takes_packets = False
 
@@ -67,6 +77,7 @@
         pages = {READY_PATH: self._ready_page}
         PageServer(self._reactor, self._settings.readiness, pages)
         self._read_store()
+        self._neighbours.start()
         self._reactor.on_signal(signal.SIGTERM, self._stop)
         self._reactor.on_signal(signal.SIGINT, self._stop)
         self._reactor.on_signal(signal.SIGHUP, self._reload)
@@ -76,24 +87,27 @@
     def _read_store(self) -> None:
         bounds = self._settings.bounds
         shortest_s = min(bounds.drain_s, bounds.config_s, bounds.evacuate_s)
-        watch_s = bounds.stable_window_s + shortest_s - WATCH_MARGIN_S
+        pace = Pace.from_bounds(bounds.stable_window_s, shortest_s)
         for kind, taker in takers(self._site, self._log).items():
-            feed = Feed(kind, watch_s, _Told(taker, self._take_packets), self._log)
+            feed = Feed(kind, pace, _Told(taker, self._note_news), self._log)
+            feed.follow(self._members, News(kind, pace.fresh_s, self._members))
             self._feeds[kind] = feed
             reader = StoreReader(self._reactor, self._settings.store, feed)
             self._readers.append(reader)
             reader.start()
-        self._steering.knows_all_targets = self._feeds[objects.TARGETS].is_complete
+        self._neighbours.wake = [reader.wake for reader in self._readers]
+        self._steering.targets_known_until = self._feeds[objects.TARGETS].known_until
         config = self._feeds[objects.CONFIGURATIONS]
-        self._steering.knows_all_routes = config.is_complete
+        self._steering.knows_all_routes = lambda now: config.is_current
 
-    def _take_packets(self) -> None:
-        """Begin to take packets once there is something to decide them by."""
+    def _note_news(self) -> None:
+        """Tell the others, and take packets once something is known to go by."""
+        self._neighbours.check()
         if self._site.is_known and not self._takes_packets:
             self._takes_packets = True
             self._port.open()
 
-    def _ready_page(self) -> PageAnswer:
+    def _ready_page(self, query: bytes) -> PageAnswer:
         ready = self._site.is_known and not self._lifecycle.is_stopping
         if ready != self._was_ready:
             self._was_ready = ready
@@ -124,10 +138,18 @@
             self._read_store()
         self._settings = settings
 
+    def _tell_error(self, exc: BaseException) -> None:
+        place, tb = [], exc.__traceback__
+        while tb is not None:
+            place.append(f"{tb.tb_frame.f_code.co_qualname}:{tb.tb_lineno}")
+            tb = tb.tb_next
+        self._log.emit(Event.INTERNAL_ERROR, error=repr(exc), calls=place)
+
     def _stop(self) -> None:
         if not self._lifecycle.is_stopping:
             self._log.emit(Event.STOPPING, flows=len(self._steering.flows))
             self._lifecycle.begin_stop(self._reactor.seconds())
+            self._neighbours.beat_now()
             self._check_stop()
 
     def _check_stop(self) -> None:
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -1,14 +1,20 @@
 """The platform's store: one connection for each kind of object.
 
-A feed decides which call is next; this makes it and hands the answer over.
+A feed decides which call is next, to the store or to another entry; this makes
+it and hands the answer over.
 """
 
 from __future__ import annotations
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
-from ..direct.feed import Failure, Feed, ListCall, WatchCall
+from ..adapters.peers import UnreadableNewsError, news_from_bytes, news_path
+from ..direct.feed import Failure, Feed, ListCall, NewsCall, WatchCall
 from .objects import UnreadableError, changes_from, page_from
 
+# While others' news is followed: how often the feed is asked for its next call,
+# beside the times at which news comes.
+FOLLOWING_S = 0.25
+
 FAILURES = {410: Failure.EXPIRED, 429: Failure.OVERLOADED}
 
 
@@ -19,25 +25,70 @@
         self._reactor = reactor
         self._caller = HttpCaller(reactor, address)
         self._feed = feed
+        self._peer: HttpCaller | None = None
         self._next = None
+        self._is_following = False
         self._is_stopped = False
 
     def start(self) -> None:
         """Make the feed's next call as soon as it is due."""
-        wait_s = self._feed.wait_s(self._reactor.seconds())
-        self._next = self._reactor.callLater(wait_s, self._call)
+        self._later(self._feed.wait_s(self._reactor.seconds()))
 
     def stop(self) -> None:
-        """Make no more calls, and close the connection."""
+        """Make no more calls, and close the connections."""
         self._is_stopped = True
+        self._cancel()
+        self._caller.close()
+        if self._peer is not None:
+            self._peer.close()
+
+    def wake(self) -> None:
+        """Ask the feed for its next call at once, if it only follows."""
+        if self._is_following:
+            self._cancel()
+            self._call()
+
+    def _later(self, wait_s: float) -> None:
+        self._next = self._reactor.callLater(wait_s, self._call)
+
+    def _cancel(self) -> None:
         if self._next is not None and self._next.active():
             self._next.cancel()
-        self._caller.close()
 
     def _call(self) -> None:
-        call = self._feed.next_call()
-        done = self._listed if isinstance(call, ListCall) else self._watched
-        self._caller.call("GET", path_of(call), b"", call.timeout_s, done)
+        self._is_following = False
+        call = self._feed.next_call(self._reactor.seconds())
+        if call is None:
+            self._is_following = True
+            self._later(FOLLOWING_S)
+        elif isinstance(call, NewsCall):
+            self._ask(call)
+        else:
+            done = self._listed if isinstance(call, ListCall) else self._watched
+            self._caller.call("GET", path_of(call), b"", call.timeout_s, done)
+
+    def _ask(self, call: NewsCall) -> None:
+        """Ask another entry; its connection is kept for the next time."""
+        if self._peer is None or self._peer.address != call.address:
+            if self._peer is not None:
+                self._peer.close()
+            self._peer = HttpCaller(self._reactor, call.address)
+        path = news_path(call.kind, call.since)
+        self._peer.call("GET", path, b"", call.timeout_s, self._told)
+
+    def _told(self, answer: Response | CallFailure) -> None:
+        now = self._reactor.seconds()
+        if isinstance(answer, CallFailure):
+            self._feed.take_news_failure(f"{answer.failure}: {answer.detail}", now)
+        elif answer.status != 200:
+            self._feed.take_news_failure(f"status {answer.status}", now)
+        else:
+            try:
+                self._feed.take_news(news_from_bytes(answer.body), now)
+            except UnreadableNewsError as exc:
+                self._feed.take_news_failure(str(exc), now)
+        if not self._is_stopped:
+            self.start()
 
     def _listed(self, answer: Response | CallFailure) -> None:
         self._take(answer, page_from, self._feed.take_page)
