--- /dev/null
+++ b/tests/features/steps/platform_entry_steps.py
@@ -0,0 +1,344 @@
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections import Counter
+from pathlib import Path
+
+from behave import given, then, when
+
+from kumquatshift.platform import objects
+from kumquatshift.platform.packets import ACK, RST, SYN, place_of
+from kumquatshift.standins.direct_flows import Head
+from kumquatshift.standins.metadata_store import StoreFaults
+from tests.features.steps.platform_store_steps import TROUBLES
+from tests.features.steps.platform_wire_steps import CONFIGURATION, TARGET
+from tests.support.loopback import in_reactor
+
+ROOT = Path(__file__).resolve().parents[3]
+PACKETS, READY, PEERS = 7000, 7001, 7002
+CALLER = "127.32.9.1"
+TARGET_ADDRESS = ("127.32.8.1", 8000)
+SETTINGS = """[entry]
+name = {name}
+domain = north-a
+packet_address = {host}:7000
+ready_address = {host}:7001
+peer_address = {host}:7002
+seeds = {seeds}
+
+[store]
+address = {store}
+heartbeat_ms = 770
+
+[bounds]
+stable_window_ms = 4000
+drain_ms = 3000
+config_ms = 3000
+evacuate_ms = 5000
+stop_s = 6
+warmup_burst_factor = 1.5
+warmup_slack = 5
+"""
+
+
+class EntryProcess:
+    """One entry as a process."""
+
+    def __init__(self, context, host, seeds="", reads=True):
+        self.host = host
+        store = "{}:{}".format(*context.store_address)
+        self.text = SETTINGS.format(
+            name=f"entry-{host}", host=host, store=store, seeds=seeds
+        )
+        self.path = ROOT / "build" / f"direct-{host}.ini"
+        self.log = ROOT / "build" / f"direct-{host}.log"
+        self.process = None
+        self.reads = reads
+        self.context = context
+
+    def start(self):
+        self.path.parent.mkdir(exist_ok=True)
+        self.path.write_text(self.text)
+        out = self.log.open("wb") if self.reads else subprocess.PIPE
+        self.process = subprocess.Popen(
+            [sys.executable, "deploy/entry.py"],
+            cwd=ROOT,
+            stdout=out,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "KUMQUATSHIFT_BOOT": str(self.path)},
+        )
+        self.context.add_cleanup(self._end)
+        return self
+
+    def _end(self):
+        self.process.kill()
+        self.process.wait()
+        for pipe in (self.process.stdout, self.process.stderr):
+            if pipe:
+                pipe.close()
+
+    def ready(self):
+        try:
+            url = f"http://{self.host}:{READY}/api/ready"
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.status == 200
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def events(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
+
+def wait(condition, limit_s, what):
+    begin = time.monotonic()
+    while not condition():
+        assert time.monotonic() - begin < limit_s, what
+        time.sleep(0.03)
+
+
+def put_targets(context):
+    """Let the targets of the store be ones that the test hears."""
+    host, port = TARGET_ADDRESS
+
+    def put():
+        for number in range(3):
+            fields = {**TARGET, "address": f"{host}:{port}"}
+            context.api.put(objects.TARGETS, f"i-{number:04x}", fields)
+
+    in_reactor(put)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(TARGET_ADDRESS)
+    sock.settimeout(2)
+    context.target_sock = sock
+    context.add_cleanup(sock.close)
+    caller = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    caller.bind((CALLER, PACKETS))
+    caller.settimeout(5)
+    context.caller_sock = caller
+    context.add_cleanup(caller.close)
+    context.sport = 3000
+
+
+@given("from the start the store {trouble}")
+def step_trouble(context, trouble):
+    in_reactor(lambda: setattr(context.api, "faults", TROUBLES[trouble]))
+
+
+@when("the store begins to say {status:d}")
+def step_refuses(context, status):
+    step_trouble(context, f"answers {status}")
+
+
+@when("the store is well again")
+def step_well(context):
+    in_reactor(lambda: setattr(context.api, "faults", StoreFaults()))
+
+
+@when("an entry is started at {net}<{number:d}>")
+def step_start(context, net, number):
+    put_targets(context)
+    context.entry = EntryProcess(context, f"{net}{number}").start()
+
+
+@when("another entry is started at {net}<{number:d}>")
+def step_start_another(context, net, number):
+    seeds = f"{net}1:{PEERS},{net}2:{PEERS}"
+    context.entry = EntryProcess(context, f"{net}{number}", seeds).start()
+
+
+@when("an entry whose log nobody reads is started at {net}<{number:d}>")
+def step_start_unread(context, net, number):
+    put_targets(context)
+    context.entry = EntryProcess(context, f"{net}{number}", reads=False).start()
+
+
+@when("with {change}, an entry is started at {net}<{number:d}>")
+def step_start_changed(context, net, number, change):
+    entry = EntryProcess(context, f"{net}{number}")
+    store = "{}:{}".format(*context.store_address)
+    changes = {
+        "no store address": (f"address = {store}\n", ""),
+        "store address = 10.1.0.36": (store, "10.1.0.36"),
+        "a packet port of 0": (":7000", ":0"),
+        "heartbeat_ms = often": ("770", "often"),
+        "an empty name": (f"name = entry-{entry.host}", "name ="),
+        "no file at all": ("", ""),
+    }
+    entry.text = entry.text.replace(*changes[change])
+    if change == "no file at all":
+        entry.path = Path("/nowhere/entry.ini")
+        entry.path_text = None
+        entry.process = subprocess.Popen(
+            [sys.executable, "deploy/entry.py"],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "KUMQUATSHIFT_BOOT": str(entry.path)},
+        )
+        context.add_cleanup(entry._end)
+    else:
+        entry.start()
+    context.entry = entry
+
+
+@when("{count:d} entries are started from {net}<{first:d}> on")
+def step_start_many(context, count, net, first):
+    seeds = f"{net}{first}:{PEERS},{net}{first + 1}:{PEERS}"
+    hosts = [f"{net}{first + number}" for number in range(count)]
+    context.entries = [EntryProcess(context, host, seeds).start() for host in hosts]
+
+
+@then("it is ready within {limit:g} s")
+def step_ready(context, limit):
+    wait(context.entry.ready, limit, "not ready")
+
+
+@then("all of them are ready within {limit:g} s")
+def step_all_ready(context, limit):
+    wait(lambda: all(e.ready() for e in context.entries), limit, "not all ready")
+
+
+@then("it is not ready within {limit:g} s")
+def step_unready(context, limit):
+    time.sleep(limit)
+    assert not context.entry.ready()
+
+
+def opening(context):
+    context.sport += 1
+    place = place_of("198.18.0.1", 8080)
+    source = place_of(CALLER, 0)[:4]
+    head = Head(SYN, source, context.sport, place[:4], 8080, seq=5)
+    return head.pack()
+
+
+def send(context, packet):
+    context.caller_sock.sendto(packet, (context.entry.host, PACKETS))
+
+
+def expect_forwarded(context, packet):
+    got = context.target_sock.recv(2000)
+    assert got[:8] in [number.to_bytes(8, "big") for number in range(3)], got
+    assert Head.unpack(got[8:]).echo != 0
+    assert got[8:][:18] == packet[:18]
+
+
+@then("an opening packet reaches a target with its key and a cookie")
+def step_forwarded(context):
+    packet = opening(context)
+    send(context, packet)
+    expect_forwarded(context, packet)
+
+
+@when("an opening packet is sent")
+def step_sent_early(context):
+    time.sleep(0.8)
+    context.early = opening(context)
+    send(context, context.early)
+
+
+@then("that packet reaches a target within {limit:g} s")
+def step_early(context, limit):
+    context.target_sock.settimeout(limit)
+    expect_forwarded(context, context.early)
+
+
+def no_route(number=0):
+    place = place_of("198.18.0.99", 1)
+    source = place_of(CALLER, 0)[:4]
+    return Head(ACK, source, 2000 + number % 1000, place[:4], 1, ack=9).pack(b"x")
+
+
+@then("a packet for no route is answered with a reset")
+def step_reset(context):
+    send(context, no_route())
+    head = Head.unpack(context.caller_sock.recv(2000))
+    assert head.flags == RST and head.seq == 9
+
+
+@then(
+    "{count:d} packets for no route come, and the last is answered within {limit:g} s"
+)
+def step_flood(context, count, limit):
+    answers = 0
+    for number in range(count):
+        send(context, no_route(number))
+        if number % 50 == 49:
+            time.sleep(0.001)
+        while select.select([context.caller_sock], [], [], 0)[0]:
+            context.caller_sock.recv(2000)
+            answers += 1
+    begin = time.monotonic()
+    send(context, no_route())
+    context.caller_sock.settimeout(limit)
+    context.caller_sock.recv(2000)
+    assert time.monotonic() - begin < limit and answers > count / 2, answers
+
+
+@when("it is told to stop")
+def step_stop(context):
+    context.entry.process.send_signal(signal.SIGTERM)
+
+
+@then("it ends by itself within {limit:g} s with status {status:d}")
+def step_ends(context, limit, status):
+    assert context.entry.process.wait(limit) == status
+
+
+@then('it ends with status {status:d} and tells "{problem}"')
+def step_ends_telling(context, status, problem):
+    assert context.entry.process.wait(10) == status
+    told = context.entry.process.stderr.read().decode()
+    assert problem in told, told
+
+
+@then("its lines tell {events}")
+def step_lines(context, events):
+    found = context.entry.events()
+    for event in events.split(", "):
+        assert event in found, (event, found)
+
+
+@then("its log soon holds {event} within {limit:g} s")
+def step_line_soon(context, event, limit):
+    wait(lambda: event in context.entry.events(), limit, context.entry.events())
+
+
+@when("its settings change to {settings}, {told}")
+def step_change(context, settings, told):
+    entry = context.entry
+    text = entry.text
+    if settings == "half of the file":
+        text = text[: len(text) // 2]
+    else:
+        text = text.replace("heartbeat_ms = 770", "heartbeat_ms = 900")
+    entry.path.write_text(text)
+    if "SIGHUP" in told:
+        entry.process.send_signal(signal.SIGHUP)
+
+
+@then("within {limit:g} s no more than {most:d} entries a kind go on to call the store")
+def step_readers(context, limit, most):
+    def settled():
+        in_reactor(context.api.calls.clear)
+        in_reactor(context.api.callers.clear)
+        time.sleep(2.5)
+        pairs = set(zip(context.api.calls, context.api.callers, strict=True))
+        kinds = Counter(
+            (call.split("?")[0], caller)[0]
+            for call, caller in {(c.split("?")[0], who) for c, who in pairs}
+        )
+        return kinds and max(kinds.values()) <= most
+
+    wait(settled, limit, "too many readers")
+
+
+__all__ = ["CONFIGURATION"]
