--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -154,8 +154,9 @@
 
 
 def _tick(wire: list) -> Tick:
-    kind, changed, revision, age_s = wire
-    return Tick(str(kind), int(changed), int(revision), float(age_s))
+    kind, is_reader, *revisions, age_s = wire
+    since, changed, revision = (int(each) for each in revisions)
+    return Tick(str(kind), bool(is_reader), since, changed, revision, float(age_s))
 
 
 def _item(wire: list) -> Item:
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -71,6 +71,9 @@
 MIN_WATCH_S = 0.5
 MIN_FRESH_S = 1.5
 
+# A watch so short that it is answered at once.
+PROOF_S = 0.01
+
 # Another entry of the domain answers within milliseconds.
 NEWS_TIMEOUT_S = 0.5
 
@@ -231,15 +234,17 @@
         if self._known < 0:
             return None
         age_s = round(now - self.confirmed_at, 3)
-        return Tick(self.kind, self.changed, self._known, age_s)
+        since = self._history_from
+        return Tick(self.kind, self.is_reader, since, self.changed, self._known, age_s)
 
     def known_until(self, now: float) -> float:
         """Return the time up to which every change is known.
 
-        An open watch brings changes at once; else it is when the store last
-        confirmed what is known.
+        An open watch brings changes at once, if it is not silent; else it is
+        when the store last confirmed what is known.
         """
-        if self._is_watching and self.is_current:
+        watched_s = now - self.confirmed_at
+        if self._is_watching and watched_s < self._pace.watch_s + WATCH_GRACE_S:
             return now - DELIVERY_S
         return self.confirmed_at
 
@@ -259,7 +264,7 @@
                 if source is not None:
                     return self._ask(source, -1)
             if shares and not self.is_reader and self._known >= 0:
-                source = self._news.newest(now)
+                source = self._news.newest(self._known, now)
                 if source is not None:
                     return self._follow(source, now)
         if self._revision is None:
@@ -268,6 +273,9 @@
         self._is_watching = True
         pace = self._pace
         watch_s = pace.reader_watch_s if self.is_reader else pace.watch_s
+        if now - self.confirmed_at > pace.fresh_s:
+            # Nobody has heard the store lately: it shows first that it answers.
+            return WatchCall(self.kind, self._revision, PROOF_S, self._timeout_s)
         return WatchCall(self.kind, self._revision, watch_s, watch_s + WATCH_GRACE_S)
 
     def take_page(self, page: Page, now: float) -> None:
@@ -367,9 +375,9 @@
 
     def _take_list(self, items: tuple[Item, ...], revision: int, now: float) -> None:
         after_loss = self._lost_at is not None
+        self._remember_items(items, revision)
         self._known = revision
         self._note_answer(now)
-        self._remember_items(items, revision)
         self._target.take_list(items, after_loss, now)
 
     def _take_items(self, items: tuple[Item, ...], changed: int, now: float) -> None:
@@ -378,9 +386,18 @@
         self._target.take_list(items, self._lost_at is not None, now)
 
     def _remember_items(self, items: tuple[Item, ...], revision: int) -> None:
+        """Keep a whole list; what it changes is remembered as changes."""
+        before = self._items
         self._items = {item.name: item for item in items}
-        self._history = []
-        self._history_from = self.changed = revision
+        if self._known < 0:
+            self._history_from = self.changed = revision
+            return
+        for name, item in self._items.items():
+            old = before.get(name)
+            if old is None or old.revision < item.revision:
+                self._keep(Change(item, False), revision)
+        for name in before.keys() - self._items.keys():
+            self._keep(Change(before[name], True), revision)
 
     def _apply(self, changes: tuple[Change, ...], revision: int, now: float) -> None:
         for change in changes:
@@ -398,6 +415,10 @@
             self._items.pop(change.item.name, None)
         else:
             self._items[change.item.name] = change.item
+        self._keep(change, revision)
+
+    def _keep(self, change: Change, revision: int) -> None:
+        """Keep a change for entries that follow."""
         self.changed = revision
         self._history.append((revision, change))
         if len(self._history) > HISTORY_CHANGES:
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -50,10 +50,13 @@
     """How far an entry's knowledge of one kind of object goes.
 
     All changes up to ``revision`` are known; the last one came with
-    ``changed``. ``age_s`` is how long ago the store last confirmed that.
+    ``changed``, and those after ``since`` can be told one by one. ``age_s`` is
+    how long ago the store last confirmed that.
     """
 
     kind: str
+    is_reader: bool
+    since: int
     changed: int
     revision: int
     age_s: float
--- a/kumquatshift/direct/news.py
+++ b/kumquatshift/direct/news.py
@@ -39,14 +39,22 @@
                     found = Source(beat.address, aged)
         return found
 
-    def newest(self, now: float) -> Source | None:
-        """Return the fresh entry that knows the latest change."""
+    def newest(self, known: int, now: float) -> Source | None:
+        """Return the fresh reader to follow, for an entry that knows ``known``.
+
+        Readers that can tell the changes since then one by one come first: all
+        followers asking a reader that has just started for all that it knows
+        would fill its link for a second.
+        """
         found = None
         for beat, at in self._members.peers():
             for tick in beat.ticks:
                 age_s = tick.age_s + now - at
-                if tick.kind != self._kind or age_s > self._fresh_s:
+                if tick.kind != self._kind or not tick.is_reader:
                     continue
-                if found is None or tick.changed > found.tick.changed:
-                    found = Source(beat.address, tick._replace(age_s=age_s))
-        return found
+                if age_s > self._fresh_s:
+                    continue
+                rank = tick.since <= known, tick.changed
+                if found is None or rank > found[0]:
+                    found = rank, Source(beat.address, tick._replace(age_s=age_s))
+        return found[1] if found is not None else None
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -73,12 +73,14 @@
     def __init__(self, targets: TargetTable, events: Events):
         self._targets = targets
         self._events = events
+        self._answered_at = float("-inf")
         self._objections: dict[LiveTarget, float] = {}
 
     def note_progress(self, flow: Flow, now: float) -> None:
         """Note that a flow's target has answered."""
         flow.repeats = 0
         flow.complained = False
+        self._answered_at = now
         self._trust(flow.target, now)
 
     def note_repeat(self, flow: Flow, now: float) -> None:
@@ -107,6 +109,9 @@
         """
         if not target.suspected or now - target.suspected_at < OBJECTION_S:
             return False
+        if self._answered_at < target.silent_since + SILENCE_S:
+            # No target has answered since: the trouble is our own.
+            return False
         complaints = target.complaints + sum(target.others_complaints.values())
         if complaints < SUSPECTING_FLOWS:
             return False
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -54,3 +54,10 @@
     And every target answers again
     And the same callers send 40 requests a second for 3 s
     Then the last 40 requests are answered
+
+  Scenario: An entry whose own packets are held up gives up no flow
+    Given a direct site of entries in a, a with 4 targets in a and 0 in b
+    When 40 callers send 100 requests a second for 2 s
+    And what the first entry sends is held up for 1.3 s
+    And the same callers send 100 requests a second for 4 s
+    Then no entry resets a flow
--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -120,3 +120,16 @@
 def step_last(context, count):
     last = sorted(context.results, key=lambda r: r.sent_at)[-count:]
     assert len(answered(last)) == count, [r for r in last if r not in answered(last)]
+
+
+@when("what the first entry sends is held up for {seconds:g} s")
+def step_held_up(context, seconds):
+    site = context.direct
+    sock = site.entries[0].port._sock
+    send, end = sock._send, site.clock.seconds() + seconds
+
+    def later(data, place):
+        wait_s = max(0.0, end - site.clock.seconds())
+        site.clock.callLater(wait_s, send, data, place)
+
+    sock._send = later
