--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -59,21 +59,16 @@
 # Two heartbeats of a reader: one may be lost.
 TELLING_S = 1.0
 
-# What a watch may take beyond the time that it asked for; the rest of the store's
-# time is in the watch itself.
+# Kept back from the age of news for the store's time to answer a reader.
 READER_GRACE_S = 0.2
 
-# A watch ends, is noticed to be silent, and is made up for by a list: so much
-# less than the bounds is its length.
-WATCH_MARGIN_S = 2.0
+# What a watch that went silent is made up for in: a retry and a list.
+WATCH_MARGIN_S = 0.4
 
 # However short the bounds are: more calls than this cost more than they tell.
 MIN_WATCH_S = 0.5
 MIN_FRESH_S = 1.5
 
-# A watch so short that it is answered at once.
-PROOF_S = 0.01
-
 # Another entry of the domain answers within milliseconds.
 NEWS_TIMEOUT_S = 0.5
 
@@ -87,8 +82,9 @@
 # Changes kept for entries that follow; a lost heartbeat or two is made up.
 HISTORY_CHANGES = 400
 
-# What a watch may take beyond the time that it asked for.
-WATCH_GRACE_S = 0.8
+# What a watch may take beyond the time that it asked for: a store that is slow
+# by a factor of a hundred answers in 0.4 s.
+WATCH_GRACE_S = 0.5
 
 
 class Pace(NamedTuple):
@@ -107,12 +103,14 @@
     def from_bounds(cls, stable_window_s: float, shortest_s: float) -> Pace:
         """Work the times out from the shortest bound on reacting to a change.
 
-        The bound holds for an entry that has been undisturbed for the stable
-        window, so its own watch may be silent for that long too.
+        A change is due within its bound, or when the store has been well for
+        the stable window, whichever is later; both may begin while a watch has
+        just gone silent.
         """
         fresh_s = max(MIN_FRESH_S, shortest_s - SELF_READ_S)
         reader_watch_s = max(MIN_WATCH_S, fresh_s - TELLING_S - READER_GRACE_S)
-        watch_s = max(MIN_WATCH_S, stable_window_s + shortest_s - WATCH_MARGIN_S)
+        due_s = max(stable_window_s, shortest_s)
+        watch_s = max(MIN_WATCH_S, due_s - WATCH_GRACE_S - WATCH_MARGIN_S)
         return cls(watch_s, reader_watch_s, fresh_s)
 
 
@@ -273,9 +271,6 @@
         self._is_watching = True
         pace = self._pace
         watch_s = pace.reader_watch_s if self.is_reader else pace.watch_s
-        if now - self.confirmed_at > pace.fresh_s:
-            # Nobody has heard the store lately: it shows first that it answers.
-            return WatchCall(self.kind, self._revision, PROOF_S, self._timeout_s)
         return WatchCall(self.kind, self._revision, watch_s, watch_s + WATCH_GRACE_S)
 
     def take_page(self, page: Page, now: float) -> None:
--- /dev/null
+++ b/tests/features/steps/direct_news_steps.py
@@ -0,0 +1,191 @@
+from behave import given, then, when
+
+from kumquatshift.direct.feed import Pace
+from tests.support.news_domain import KIND, NewsDomain
+
+STABLE_S = 4.0
+PHASES = 6
+PHASE_S = 0.55
+
+
+@given("a store with {count:d} objects and bounds of {bound:g} s")
+def step_store(context, count, bound):
+    context.news = domain = NewsDomain(Pace.from_bounds(STABLE_S, bound))
+    for number in range(count):
+        domain.store.put(KIND, f"o{number}", 0)
+    context.away = []
+
+
+@given("a domain of {count:d} entries that has run for {seconds:g} s")
+def step_domain(context, count, seconds):
+    context.news.add(count)
+    context.news.run(seconds)
+    for node in context.news.nodes:
+        node.calls.clear()
+
+
+@given("a share of {loss:g} of the heartbeats is lost")
+def step_loss(context, loss):
+    context.news.loss = loss
+
+
+@when("it runs for {seconds:d} s with a change each second")
+def step_changes(context, seconds):
+    domain = context.news
+    for number in range(seconds):
+        domain.store.put(KIND, f"o{number % 60}", number + 1)
+        domain.run(1.0)
+    domain.run(2.0)
+
+
+@then("{count:d} entries made calls, at most {calls:d} in all")
+def step_calls(context, count, calls):
+    made = [len(node.calls) for node in context.news.nodes if node.calls]
+    print(f"calls: {made}")
+    assert len(made) == count and sum(made) <= calls, made
+
+
+@then("every entry knows every change")
+def step_all_know(context):
+    store = {n: o["spec"] for (_, n), o in context.news.store.objects.items()}
+    for node in context.news.nodes:
+        assert node.known.values == store, node.me.name
+
+
+@when("nothing happens")
+def step_nothing(context):
+    pass
+
+
+@when("{which} {trouble:w} killed")
+def step_killed(context, which, trouble):
+    readers = context.news.readers()
+    assert len(readers) == 2
+    for node in readers[: 1 if which == "one reader" else 2]:
+        node.is_up = False
+        context.away.append(node)
+
+
+@when("both readers pause")
+def step_paused(context):
+    for node in context.news.readers():
+        node.is_paused = True
+        context.away.append(node)
+
+
+@when("the store refuses both readers")
+def step_refuse_readers(context):
+    for node in context.news.readers():
+        node.turned_away = "refuses"
+
+
+@when("the store falls silent for both readers")
+def step_silent_readers(context):
+    for node in context.news.readers():
+        node.turned_away = "is silent"
+
+
+@when("both readers hear no peer, and reach nothing")
+def step_cut_readers(context):
+    for node in context.news.readers():
+        node.turned_away = "is silent"
+        node.hear = lambda beat: None
+        context.away.append(node)
+
+
+@when("the store {trouble} for {seconds:g} s")
+def step_store_away(context, trouble, seconds):
+    domain = context.news
+    domain.trouble = trouble
+    domain.run(seconds)
+    domain.trouble = None
+
+
+@when("the store refuses from now on")
+def step_refuses(context):
+    context.news.trouble = "refuses"
+
+
+@when("an object changes {after:g} s later")
+def step_change(context, after):
+    context.news.run(after)
+    context.news.store.put(KIND, "o7", 777)
+
+
+@then("every entry that reaches the store knows it within {limit:g} s")
+def step_known(context, limit):
+    domain = context.news
+    able = [n for n in domain.nodes if n not in context.away and not n.turned_away]
+    took_s = domain.until_known("o7", 777, able, limit)
+    print(f"known after {took_s:.2f} s")
+
+
+@when(
+    "in domains of {count:d} entries the store {trouble} for {seconds:g} s at any phase"
+)
+def step_phases(context, count, trouble, seconds):
+    context.domains = []
+    for phase in range(PHASES):
+        domain = NewsDomain(context.news.pace, seed=phase)
+        domain.store.put(KIND, "o7", 0)
+        domain.add(count)
+        domain.run(6 + phase * PHASE_S)
+        domain.trouble = trouble
+        domain.run(seconds)
+        domain.trouble = None
+        context.domains.append(domain)
+
+
+@when("an object changes {after:g} s after that")
+def step_each_changes(context, after):
+    for domain in context.domains:
+        domain.run(after)
+        domain.store.put(KIND, "o7", 777)
+
+
+@then("every entry of each knows it within {limit:g} s")
+def step_each_knows(context, limit):
+    took_s = [
+        domain.until_known("o7", 777, domain.nodes, limit) for domain in context.domains
+    ]
+    print(f"known after {max(took_s):.2f} s at most")
+    for domain in context.domains:
+        assert not any(node.known.reverted for node in domain.nodes)
+
+
+@when("{count:d} more entries start")
+def step_more(context, count):
+    context.first_new = len(context.news.nodes)
+    context.news.add(count)
+
+
+@then("the new ones know all objects within {limit:g} s")
+def step_new_know(context, limit):
+    new = context.news.nodes[context.first_new :]
+    context.news.until_known("o59", 0, new, limit)
+    assert all(len(node.known.values) == 60 for node in new)
+
+
+@then("at most {count:d} times all objects were asked of a peer")
+def step_whole(context, count):
+    print(f"{context.news.whole_news} whole, {context.news.news_calls} in all")
+    assert context.news.whole_news <= count, context.news.whole_news
+
+
+@when("objects go and come while the store is silent for {seconds:g} s")
+def step_go_and_come(context, seconds):
+    domain = context.news
+    domain.trouble = "is silent"
+    domain.run(seconds / 2)
+    for number in range(10):
+        domain.store.delete(KIND, f"o{number}")
+        domain.store.put(KIND, f"n{number}", number)
+    domain.store.compact()
+    domain.run(seconds / 2)
+    domain.trouble = None
+
+
+@then("within {limit:g} s every entry knows what the store has")
+def step_equal(context, limit):
+    context.news.run(limit)
+    step_all_know(context)
--- /dev/null
+++ b/tests/support/news_domain.py
@@ -0,0 +1,226 @@
+"""A domain of entries that follow each other's news, under a paused clock.
+
+Feeds, members and news are the real ones. The store is the stand-in's; calls
+are answered after a few milliseconds, or fail as told. Heartbeats may be lost.
+"""
+
+import random
+
+from twisted.internet.task import Clock
+
+from kumquatshift.direct.feed import (
+    WATCH_GRACE_S,
+    Change,
+    Changes,
+    Failure,
+    Feed,
+    Item,
+    ListCall,
+    NewsCall,
+    Pace,
+    Page,
+)
+from kumquatshift.direct.members import (
+    BEAT_S,
+    READER_BEAT_S,
+    Beat,
+    Member,
+    Members,
+)
+from kumquatshift.direct.news import News
+from kumquatshift.standins.metadata_store import MetadataStore
+from tests.support.direct_site import Recorder
+
+KIND = "servers"
+WAY_S = 0.004
+STEP_S = 0.01
+
+
+class Known:
+    """Takes in what a feed brings."""
+
+    def __init__(self, node):
+        self.node = node
+        self.values = {}
+        self.reverted = False
+
+    def take_list(self, items, after_loss, now):
+        self.values = {item.name: item.value for item in items}
+        self.node.note()
+
+    def take_change(self, change, now):
+        name, value = change.item.name, change.item.value
+        if change.is_deleted:
+            self.values.pop(name, None)
+        else:
+            self.reverted |= self.values.get(name, -1) > value
+            self.values[name] = value
+        self.node.note()
+
+
+class Node:
+    """One entry: its feed, and the driver that makes its calls."""
+
+    def __init__(self, domain, name):
+        self.domain = domain
+        self.clock = domain.clock
+        self.events = Recorder()
+        number = len(domain.nodes) + 1
+        self.me = Member(name, "north-a", ("10.0.0.1", number))
+        self.members = Members(self.me, (), self.events)
+        self.known = Known(self)
+        pace = domain.pace
+        self.feed = Feed(KIND, pace, self.known, self.events)
+        self.feed.follow(self.members, News(KIND, pace.fresh_s, self.members))
+        self.is_up = True
+        self.is_paused = False
+        self.turned_away = None
+        self.watch = None
+        self.calls = []
+        self._beat = None
+        self._told = None
+        self.clock.callLater(0, self._call)
+        self._send()
+
+    def note(self):
+        """Tell the others at once that something is new."""
+        if self.feed.changed != self._told:
+            self._told = self.feed.changed
+            if self._beat.active():
+                self._beat.cancel()
+            self._beat = self.clock.callLater(0.01, self._send)
+
+    def _send(self):
+        if not self.is_up:
+            return
+        if self.is_paused:
+            self._beat = self.clock.callLater(0.1, self._send)
+            return
+        now = self.clock.seconds()
+        self.members.expire(now)
+        tick = self.feed.tick(now)
+        ticks = (tick,) if tick else ()
+        reaches = self.feed.reaches_store(now)
+        beat = Beat(*self.me, 1, False, reaches, ticks, (), ())
+        for other in self.domain.nodes:
+            if other is not self and not self.domain.rng.random() < self.domain.loss:
+                self.clock.callLater(0.001, other.hear, beat)
+        wait_s = READER_BEAT_S if self.feed.is_reader else BEAT_S
+        self._beat = self.clock.callLater(wait_s, self._send)
+
+    def hear(self, beat):
+        if self.is_up and not self.is_paused:
+            self.members.hear(beat, self.clock.seconds())
+
+    def _call(self):
+        if not self.is_up:
+            return
+        if self.is_paused:
+            self.clock.callLater(0.1, self._call)
+            return
+        now = self.clock.seconds()
+        call = self.feed.next_call(now)
+        if call is None:
+            self.clock.callLater(0.1, self._call)
+        elif isinstance(call, NewsCall):
+            self._ask(call)
+        else:
+            self._to_store(call)
+
+    def _ask(self, call):
+        peer = next(n for n in self.domain.nodes if n.me.address == call.address)
+        self.domain.news_calls += 1
+        now = self.clock.seconds()
+        news = peer.feed.news_since(call.since, now) if peer.is_up else None
+        if news is None:
+            self._finish(self.feed.take_news_failure, "closed")
+            return
+        if news.is_whole:
+            self.domain.whole_news += 1
+        self._finish(self.feed.take_news, news)
+
+    def _to_store(self, call):
+        now = self.clock.seconds()
+        self.calls.append((now, call))
+        trouble = self.turned_away or self.domain.trouble
+        if trouble == "refuses":
+            self._finish(self.feed.take_failure, Failure.UNAVAILABLE, "status 503")
+        elif trouble == "is silent":
+            self._fail_later(call.timeout_s)
+        elif isinstance(call, ListCall):
+            page = self.domain.store.page(KIND, call.after)
+            items = tuple(_item(obj) for obj in page["items"])
+            answer = Page(items, page["more"], page["currentRev"])
+            self._finish(self.feed.take_page, answer)
+        else:
+            self._watch(call, now + call.wait_s)
+
+    def _watch(self, call, until):
+        if not self.is_up:
+            return
+        if self.turned_away or self.domain.trouble:
+            # An open watch hears nothing more, and ends with its time-out.
+            self._fail_later(until - self.clock.seconds() + WATCH_GRACE_S)
+            return
+        store = self.domain.store
+        events = store.since(KIND, call.revision)
+        if events or self.clock.seconds() >= until:
+            changes = tuple(Change(_item(e["object"]), e["deleted"]) for e in events)
+            self._finish(self.feed.take_changes, Changes(changes, store.revision))
+        else:
+            self.clock.callLater(STEP_S, self._watch, call, until)
+
+    def _fail_later(self, after_s):
+        self.clock.callLater(
+            after_s, self._finish, self.feed.take_failure, Failure.TIMEOUT, "late"
+        )
+
+    def _finish(self, take, *args):
+        def finish():
+            if self.is_up:
+                take(*args, self.clock.seconds())
+                self.clock.callLater(self.feed.wait_s(self.clock.seconds()), self._call)
+
+        self.clock.callLater(WAY_S, finish)
+
+
+class NewsDomain:
+    """All entries of one failure domain, and the store."""
+
+    def __init__(self, pace=None, seed=3):
+        self.clock = Clock()
+        self.clock.advance(100)
+        self.rng = random.Random(seed)
+        self.pace = pace or Pace.from_bounds(4.0, 3.0)
+        self.store = MetadataStore()
+        self.nodes = []
+        self.loss = 0.0
+        self.trouble = None
+        self.news_calls = 0
+        self.whole_news = 0
+
+    def add(self, count):
+        for _ in range(count):
+            self.nodes.append(Node(self, f"entry-{len(self.nodes)}"))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def readers(self):
+        return [node for node in self.nodes if node.is_up and node.feed.is_reader]
+
+    def until_known(self, name, value, nodes, limit_s):
+        """Run until all nodes know; return after how long."""
+        begin = self.clock.seconds()
+        while any(node.known.values.get(name) != value for node in nodes):
+            took_s = self.clock.seconds() - begin
+            assert took_s < limit_s, [
+                n.me.name for n in nodes if n.known.values.get(name) != value
+            ]
+            self.run(STEP_S)
+        return self.clock.seconds() - begin
+
+
+def _item(obj):
+    return Item(obj["meta"]["name"], obj["meta"]["revision"], obj["spec"])
