--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from ..direct.feed import Feed
+from ..direct.feed import Feed, Pace
 from ..direct.lifecycle import Lifecycle
 from ..direct.members import (
     ASK_ALONE_EVERY_S,
@@ -16,15 +16,33 @@
     Member,
     Members,
 )
+from ..direct.news import News
 from ..direct.suspicion import Suspicion
-from ..direct.warmup import Warmup
+from ..direct.warmup import UNSETTLED_ENTRIES, Warmup
 from .http_pages import PageAnswer, PageServer
-from .peers import NEWS_PATH, PeerPort, asked_for, news_to_bytes
+from .peers import NEWS_PATH, NewsCodec, PeerPort
+
+# All entries that start together have heard each other after this time.
+SETTLED_S = 2.0
 
 # News that came and suspicions that arose meanwhile go out together.
 PROMPT_S = 0.01
 
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    class NewsReader(Protocol):
+        """Makes a feed's calls, to other entries too."""
+
+        codec: NewsCodec | None
+
+        def wake(self) -> None:
+            """Ask the feed for its next call at once, if it only follows."""
+            ...
+
+
 class Neighbours:
     """Speaks with the other entries for one entry."""
 
@@ -37,7 +55,9 @@
         warmup: Warmup,
         lifecycle: Lifecycle,
     ):
-        self.wake: list[Callable[[], None]] = []
+        self._wake: list[Callable[[], None]] = []
+        self._codec = NewsCodec()
+        self._started_at = reactor.seconds()
         self._reactor = reactor
         self._members = members
         self._suspicion = suspicion
@@ -61,6 +81,17 @@
         self._reactor.callLater(ASK_ALONE_EVERY_S, self._ask_alone)
         self._send_beat()
 
+    def follow(
+        self, feeds: dict[str, Feed], readers: list[NewsReader], pace: Pace
+    ) -> None:
+        """Let feeds, and those who make their calls, learn from the others."""
+        self._feeds = feeds
+        for kind, feed in feeds.items():
+            feed.follow(self._members, News(kind, pace.fresh_s, self._members))
+        for reader in readers:
+            reader.codec = self._codec
+        self._wake = [reader.wake for reader in readers]
+
     def beat_now(self) -> None:
         """Send the next heartbeat at once, since something has changed."""
         if self._beat is not None and self._beat.active():
@@ -76,7 +107,8 @@
         now = self._reactor.seconds()
         self._members.expire(now)
         names = self._members.names()
-        self._warmup.entries = len(names)
+        is_settled = now - self._started_at > SETTLED_S
+        self._warmup.entries = max(len(names), 1 if is_settled else UNSETTLED_ENTRIES)
         self._warmup.rank = names.index(self._members.me.name)
         self._told = self._state()
         self._port.send_beat(self._make_beat(now), self._members.addresses())
@@ -118,7 +150,7 @@
         for answering in beat.objections:
             self._suspicion.hear_answering(answering, now)
         self.check()
-        for wake in self.wake:
+        for wake in self._wake:
             wake()
 
     def _name(self, asking: Member) -> tuple[Member, ...]:
@@ -139,11 +171,11 @@
 
     def _news_page(self, query: bytes) -> PageAnswer:
         try:
-            kind, since = asked_for(query)
+            kind, since = self._codec.asked_for(query)
         except ValueError:
             return PageAnswer(404)
         feed = self._feeds.get(kind)
         news = feed and feed.news_since(since, self._reactor.seconds())
         if news is None:
             return PageAnswer(503)
-        return PageAnswer(200, news_to_bytes(news))
+        return PageAnswer(200, self._codec.encode(news))
--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -6,8 +6,8 @@
 import socket
 from collections.abc import Callable
 
-from ..direct.feed import Change, Item, NewsAnswer
-from ..direct.members import Beat, Member, Tick
+from ..direct.feed import Change, Item, NewsAnswer, Tick
+from ..direct.members import Beat, Member
 from ..direct.suspicion import Answering, Suspect
 from .epoll import Descriptor
 
@@ -90,34 +90,34 @@
             self.lost += 1  # As good as lost on the way; the next one follows.
 
 
-def news_path(kind: str, since: int) -> str:
-    """Return the path on which an entry is asked for its news."""
-    return f"{NEWS_PATH.decode()}?{kind}&{since}"
+class NewsCodec:
+    """Questions for news and their answers, as entries write them."""
 
+    def path(self, kind: str, since: int) -> str:
+        """Return the path on which an entry is asked for its news."""
+        return f"{NEWS_PATH.decode()}?{kind}&{since}"
 
-def asked_for(query: bytes) -> tuple[str, int]:
-    """Return what a query asks for; raises `ValueError`."""
-    kind, _, since = query.decode().partition("&")
-    return kind, int(since)
+    def asked_for(self, query: bytes) -> tuple[str, int]:
+        """Return what a query asks for; raises `ValueError`."""
+        kind, _, since = query.decode().partition("&")
+        return kind, int(since)
 
+    def encode(self, news: NewsAnswer) -> bytes:
+        """Encode an answer."""
+        return json.dumps(news).encode()
 
-def news_to_bytes(news: NewsAnswer) -> bytes:
-    """Encode the answer to a question for news."""
-    return json.dumps(news).encode()
-
-
-def news_from_bytes(body: bytes) -> NewsAnswer:
-    """Decode the answer to a question for news; raises `UnreadableNewsError`."""
-    try:
-        is_whole, items, changes, tick = json.loads(body)
-        return NewsAnswer(
-            bool(is_whole),
-            tuple(_item(each) for each in items),
-            tuple(Change(_item(item), bool(deleted)) for item, deleted in changes),
-            _tick(tick),
-        )
-    except (ValueError, TypeError, IndexError) as exc:
-        raise UnreadableNewsError(f"news: {exc!r}") from exc
+    def decode(self, body: bytes) -> NewsAnswer:
+        """Decode an answer; raises `UnreadableNewsError`."""
+        try:
+            is_whole, items, changes, tick = json.loads(body)
+            return NewsAnswer(
+                bool(is_whole),
+                tuple(_item(each) for each in items),
+                tuple(Change(_item(item), bool(gone)) for item, gone in changes),
+                _tick(tick),
+            )
+        except (ValueError, TypeError, IndexError) as exc:
+            raise UnreadableNewsError(f"news: {exc!r}") from exc
 
 
 def _beat(wire: list) -> Beat:
--- a/kumquatshift/direct/events.py
+++ b/kumquatshift/direct/events.py
@@ -6,17 +6,15 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Protocol
 
-TYPE_CHECKING = False
-if TYPE_CHECKING:
-    from typing import Protocol
 
-    class Events(Protocol):
-        """Where decisions are told."""
+class Events(Protocol):
+    """Where decisions are told."""
 
-        def emit(self, event: Event, **inputs: object) -> None:
-            """Tell one decision with the inputs that led to it; never blocks."""
-            ...
+    def emit(self, event: Event, **inputs: object) -> None:
+        """Tell one decision with the inputs that led to it; never blocks."""
+        ...
 
 
 class Event(Enum):
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -13,7 +13,6 @@
 from typing import NamedTuple
 
 from .events import Event
-from .members import Tick
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -170,6 +169,22 @@
     revision: int
 
 
+class Tick(NamedTuple):
+    """How far an entry's knowledge of one kind of object goes.
+
+    All changes up to ``revision`` are known; the last one came with
+    ``changed``, and those after ``since`` can be told one by one. ``age_s`` is
+    how long ago the store last confirmed that.
+    """
+
+    kind: str
+    is_reader: bool
+    since: int
+    changed: int
+    revision: int
+    age_s: float
+
+
 class NewsAnswer(NamedTuple):
     """What another entry knows: all items, or the changes asked for."""
 
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from .events import Event
+from .feed import Tick
 from .suspicion import Answering, Suspect
 
 TYPE_CHECKING = False
@@ -46,22 +47,6 @@
 ASK_ALONE_EVERY_S = 5.0
 
 
-class Tick(NamedTuple):
-    """How far an entry's knowledge of one kind of object goes.
-
-    All changes up to ``revision`` are known; the last one came with
-    ``changed``, and those after ``since`` can be told one by one. ``age_s`` is
-    how long ago the store last confirmed that.
-    """
-
-    kind: str
-    is_reader: bool
-    since: int
-    changed: int
-    revision: int
-    age_s: float
-
-
 class Beat(NamedTuple):
     """What an entry tells the others of its domain about itself."""
 
--- a/kumquatshift/direct/news.py
+++ b/kumquatshift/direct/news.py
@@ -9,7 +9,8 @@
 
 from typing import NamedTuple
 
-from .members import Members, Tick
+from .feed import Tick
+from .members import Members
 
 
 class Source(NamedTuple):
--- a/kumquatshift/direct/warmup.py
+++ b/kumquatshift/direct/warmup.py
@@ -17,6 +17,10 @@
 # few milliseconds.
 SPACING_FACTOR = 1.1
 
+# Until an entry has heard the others of its domain it takes them to be three,
+# the size of small domains.
+UNSETTLED_ENTRIES = 3
+
 # An entry that may not use cold targets at all asks again after this time.
 NEVER_S = 3600.0
 
@@ -42,7 +46,7 @@
     def __init__(self, bounds: WarmupBounds, domain: str):
         self._bounds = bounds
         self._domain = domain
-        self.entries = 1
+        self.entries = UNSETTLED_ENTRIES
         self.rank = 0
 
     def admits(self, target: LiveTarget, flows_per_s: float, now: float) -> bool:
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -9,12 +9,9 @@
 
 from ..adapters.epoll import EpollReactor
 from ..adapters.http_pages import PageAnswer, PageServer
-from ..adapters.neighbours import Neighbours
 from ..direct.events import Event
 from ..direct.feed import Change, Feed, Item, Pace
 from ..direct.lifecycle import Lifecycle
-from ..direct.members import Member, Members
-from ..direct.news import News
 from ..direct.placement import Placement
 from ..direct.settings import DirectSettings, SettingsError
 from ..direct.site import Site
@@ -27,6 +24,16 @@
 from .store import StoreReader
 from .takers import takers
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from ..adapters.neighbours import Neighbours
+
+# What came while the process started is forwarded first.
+MEETING_S = 0.2
+
+# An entry that the store does not answer needs the others.
+LATEST_MEETING_S = 1.0
+
 READY_PATH = b"/api/ready"
 SWEEP_S = 1.0
 STOP_CHECK_S = 0.1
@@ -59,16 +66,8 @@
         self._was_ready = False
         self._readers: list[StoreReader] = []
         self._feeds: dict[str, Feed] = {}
-        me = Member(settings.name, settings.domain, settings.peers)
-        self._members = Members(me, settings.seeds, self._log)
-        self._neighbours = Neighbours(
-            reactor,
-            self._members,
-            self._steering.suspicion,
-            self._feeds,
-            warmup,
-            self._lifecycle,
-        )
+        self._warmup = warmup
+        self._neighbours: Neighbours | None = None
         self._port = PacketPort(reactor, sock, self._steering, self._log)
         self._takes_packets = False
 
@@ -77,7 +76,7 @@
         pages = {READY_PATH: self._ready_page}
         PageServer(self._reactor, self._settings.readiness, pages)
         self._read_store()
-        self._neighbours.start()
+        self._reactor.callLater(LATEST_MEETING_S, self._meet)
         self._reactor.on_signal(signal.SIGTERM, self._stop)
         self._reactor.on_signal(signal.SIGINT, self._stop)
         self._reactor.on_signal(signal.SIGHUP, self._reload)
@@ -87,25 +86,41 @@
     def _read_store(self) -> None:
         bounds = self._settings.bounds
         shortest_s = min(bounds.drain_s, bounds.config_s, bounds.evacuate_s)
-        pace = Pace.from_bounds(bounds.stable_window_s, shortest_s)
+        self._pace = Pace.from_bounds(bounds.stable_window_s, shortest_s)
         for kind, taker in takers(self._site, self._log).items():
-            feed = Feed(kind, pace, _Told(taker, self._note_news), self._log)
-            feed.follow(self._members, News(kind, pace.fresh_s, self._members))
-            self._feeds[kind] = feed
+            told = _Told(taker, self._note_news)
+            feed = self._feeds[kind] = Feed(kind, self._pace, told, self._log)
             reader = StoreReader(self._reactor, self._settings.store, feed)
             self._readers.append(reader)
             reader.start()
-        self._neighbours.wake = [reader.wake for reader in self._readers]
         self._steering.targets_known_until = self._feeds[objects.TARGETS].known_until
         config = self._feeds[objects.CONFIGURATIONS]
         self._steering.knows_all_routes = lambda now: config.is_current
 
+    def _meet(self) -> None:
+        """Begin to speak with the other entries; forwarding goes before."""
+        if self._neighbours is None:
+            from .meeting import meet  # noqa: PLC0415 (not needed to forward)
+
+            self._neighbours = meet(
+                self._reactor,
+                self._settings,
+                self._steering.suspicion,
+                self._feeds,
+                self._warmup,
+                self._lifecycle,
+                self._log,
+            )
+        self._neighbours.follow(self._feeds, self._readers, self._pace)
+
     def _note_news(self) -> None:
         """Tell the others, and take packets once something is known to go by."""
-        self._neighbours.check()
+        if self._neighbours is not None:
+            self._neighbours.check()
         if self._site.is_known and not self._takes_packets:
             self._takes_packets = True
             self._port.open()
+            self._reactor.callLater(MEETING_S, self._meet)
 
     def _ready_page(self, query: bytes) -> PageAnswer:
         ready = self._site.is_known and not self._lifecycle.is_stopping
@@ -136,6 +151,7 @@
                 reader.stop()
             self._readers = []
             self._read_store()
+            self._meet()
         self._settings = settings
 
     def _tell_error(self, exc: BaseException) -> None:
@@ -149,7 +165,8 @@
         if not self._lifecycle.is_stopping:
             self._log.emit(Event.STOPPING, flows=len(self._steering.flows))
             self._lifecycle.begin_stop(self._reactor.seconds())
-            self._neighbours.beat_now()
+            if self._neighbours is not None:
+                self._neighbours.beat_now()
             self._check_stop()
 
     def _check_stop(self) -> None:
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
-from ..adapters.peers import UnreadableNewsError, news_from_bytes, news_path
 from ..direct.feed import Failure, Feed, ListCall, NewsCall, WatchCall
 from .objects import UnreadableError, changes_from, page_from
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from ..adapters.peers import NewsCodec
+
 # While others' news is followed: how often the feed is asked for its next call,
 # beside the times at which news comes.
 FOLLOWING_S = 0.25
@@ -25,6 +28,7 @@
         self._reactor = reactor
         self._caller = HttpCaller(reactor, address)
         self._feed = feed
+        self.codec: NewsCodec | None = None
         self._peer: HttpCaller | None = None
         self._next = None
         self._is_following = False
@@ -73,7 +77,7 @@
             if self._peer is not None:
                 self._peer.close()
             self._peer = HttpCaller(self._reactor, call.address)
-        path = news_path(call.kind, call.since)
+        path = self.codec.path(call.kind, call.since)
         self._peer.call("GET", path, b"", call.timeout_s, self._told)
 
     def _told(self, answer: Response | CallFailure) -> None:
@@ -84,8 +88,8 @@
             self._feed.take_news_failure(f"status {answer.status}", now)
         else:
             try:
-                self._feed.take_news(news_from_bytes(answer.body), now)
-            except UnreadableNewsError as exc:
+                self._feed.take_news(self.codec.decode(answer.body), now)
+            except ValueError as exc:
                 self._feed.take_news_failure(str(exc), now)
         if not self._is_stopped:
             self.start()
