--- /dev/null
+++ b/kumquatshift/adapters/entry_metrics.py
@@ -0,0 +1,160 @@
+"""Metrics and dump of an entry with direct return, for its pages.
+
+Loaded when a page is first asked for: the libraries take longer to import than
+the rest of an entry, and nothing of them is needed to forward a packet. Until
+then counts are plain numbers, and times wait in bounded queues.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..direct.events import Event
+from ..direct.feed import Feed
+from ..direct.site import Site
+from ..direct.steering import Steering
+from ..eventlog import EventLog
+from ..metrics import CounterValues, Metrics, MetricsSnapshot, page_of
+
+ANSWERS = "first-answer"
+STORE_LISTS = "store-list"
+LOOP_DELAY = "loop-delay"
+
+
+@dataclass(frozen=True)
+class Sources:
+    """Where an entry's metrics are read from.
+
+    ``store_outcomes`` and ``drain_times`` are read anew for each page; the
+    times of each name are handed over once.
+    """
+
+    name: str
+    site: Site
+    steering: Steering
+    log: EventLog
+    feeds: dict[str, Feed]
+    drops: dict
+    store_outcomes: Callable[[], dict[str, int]]
+    drain_times: Callable[[], dict[str, list[float]]]
+    is_ready: Callable[[], bool]
+    members: Callable[[], list[str]]
+
+
+class EntryMetrics:
+    """The metrics of one entry, as pages."""
+
+    def __init__(self, clock, sources: Sources):
+        self._clock = clock
+        self._sources = sources
+        self._metrics = Metrics(clock)
+        self._add_gauges()
+
+    def metrics_page(self) -> bytes:
+        """Return all metrics in the text format that Prometheus reads."""
+        for name, times in self._sources.drain_times().items():
+            for seconds in times:
+                self._metrics.record_latency(name, seconds)
+        snapshot = self._metrics.snapshot()
+        counters = (*self._counters(), *snapshot.counters)
+        return page_of(
+            MetricsSnapshot(counters, snapshot.gauges, snapshot.latencies)
+        ).encode()
+
+    def dump_page(self) -> bytes:
+        """Return the whole state as one JSON object."""
+        now = self._clock.seconds()
+        src = self._sources
+        state = {
+            "name": src.name,
+            "ready": src.is_ready(),
+            "members": src.members(),
+            "configuration": {
+                "version": src.site.routes.version,
+                "routes": len(src.site.routes),
+            },
+            "evacuated": sorted(src.site.placement.evacuated),
+            "flows": len(src.steering.flows),
+            "feeds": {kind: _feed(feed, now) for kind, feed in src.feeds.items()},
+            "targets": {t.name: _target(t, now) for t in src.site.targets},
+            "events": {event.value: n for event, n in src.log.counts.items() if n},
+        }
+        return json.dumps(state, indent=1).encode()
+
+    def _counters(self) -> list[CounterValues]:
+        src = self._sources
+        drops = [(reason.value, n) for reason, n in src.drops.items()]
+        events = [(event.value, src.log.counts[event]) for event in Event]
+        return [
+            CounterValues("kumquatshift_drops_total", "Dropped packets.", tuple(drops)),
+            CounterValues("kumquatshift_events_total", "Decisions.", tuple(events)),
+            CounterValues(
+                "kumquatshift_store_calls_total",
+                "Calls to the store by outcome.",
+                tuple(src.store_outcomes().items()),
+            ),
+        ]
+
+    def _add_gauges(self) -> None:
+        src, add = self._sources, self._metrics.gauge
+        targets = src.site.targets
+        add("kumquatshift_ready", "1 if packets are taken.", lambda: src.is_ready())
+        add("kumquatshift_flows", "Flows seen.", lambda: len(src.steering.flows))
+        add(
+            "kumquatshift_flows_evicted",
+            "Flows forgotten since the table was full.",
+            lambda: src.steering.flows.evicted,
+        )
+        add("kumquatshift_targets", "Targets listed.", lambda: len(targets))
+        add(
+            "kumquatshift_targets_suspected",
+            "Targets that have stopped to answer.",
+            lambda: sum(target.suspected for target in targets),
+        )
+        add(
+            "kumquatshift_configuration_version",
+            "Version in force.",
+            lambda: src.site.routes.version,
+        )
+        add(
+            "kumquatshift_domain_entries",
+            "Entries of the domain that are heard, this one included.",
+            lambda: len(src.members()),
+        )
+        add(
+            "kumquatshift_log_lines_left_out",
+            "Log lines beyond their budget.",
+            lambda: src.log.lines_left_out,
+        )
+        for kind, feed in src.feeds.items():
+            add(
+                f"kumquatshift_{kind}_age_seconds",
+                "Since the store last confirmed what is known.",
+                lambda feed=feed: self._clock.seconds() - feed.confirmed_at,
+            )
+
+
+def _feed(feed: Feed, now: float) -> dict:
+    tick = feed.tick(now)
+    return {
+        "current": feed.is_current,
+        "reader": feed.is_reader,
+        "revision": tick.revision if tick else None,
+        "age_s": tick.age_s if tick else None,
+    }
+
+
+def _target(target, now: float) -> dict:
+    return {
+        "service": target.service,
+        "domain": target.domain,
+        "draining": target.draining,
+        "cold_s": round(max(0.0, target.cold_until - now), 3),
+        "suspected": target.suspected,
+        "complaints": target.complaints,
+        "answered_s_ago": round(now - target.progress_at, 3),
+        "flows": target.flows,
+        "waiting": target.waiting,
+    }
--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -92,6 +92,10 @@
             reader.codec = self._codec
         self._wake = [reader.wake for reader in readers]
 
+    def names(self) -> list[str]:
+        """Return the names of the domain's entries that are heard."""
+        return self._members.names()
+
     def beat_now(self) -> None:
         """Send the next heartbeat at once, since something has changed."""
         if self._beat is not None and self._beat.active():
--- a/kumquatshift/direct/flows.py
+++ b/kumquatshift/direct/flows.py
@@ -23,10 +23,12 @@
     ``acked`` is the caller's last acknowledgement and ``top`` the end of the
     data that it has sent. ``repeats`` counts packets sent again since the last
     sign of progress, and ``stuck_since`` is when the first of them was new.
+    ``asked_at`` is when the request that waits for an answer was sent.
     """
 
     __slots__ = (
         "acked",
+        "asked_at",
         "complained",
         "is_closing",
         "is_open",
@@ -44,6 +46,7 @@
         self.is_open = False
         self.is_closing = False
         self.acked = -1
+        self.asked_at = now
         self.top = -1
         self.repeats = 0
         self.complained = False
--- a/kumquatshift/direct/settings.py
+++ b/kumquatshift/direct/settings.py
@@ -44,6 +44,7 @@
     domain: str
     packets: Address
     readiness: Address
+    metrics_port: int
     peers: Address
     seeds: tuple[Address, ...]
     store: Address
@@ -73,6 +74,7 @@
             domain=reader.read("entry", "domain", _text),
             packets=reader.read("entry", "packet_address", _address),
             readiness=reader.read("entry", "ready_address", _address),
+            metrics_port=reader.read("entry", "metrics_port", _port),
             peers=reader.read("entry", "peer_address", _address),
             seeds=reader.read("entry", "seeds", _addresses),
             store=reader.read("store", "address", _address),
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from .events import Event
 from .flows import Flow, FlowTable
 from .packets import Decision, Drop, Forward, Packet, Reason, Reset
@@ -20,6 +22,9 @@
 if TYPE_CHECKING:
     from .events import Events
 
+# Times kept until they are next asked for: a minute's worth under load.
+KEPT_TIMES = 10_000
+
 SEQUENCE_MASK = 0xFFFFFFFF
 HALF_SEQUENCE = 1 << 31
 
@@ -50,6 +55,7 @@
         self.flows = FlowTable()
         self.knows_all_routes = _no
         self.targets_known_until = _never
+        self.answer_times: deque[float] = deque(maxlen=KEPT_TIMES)
         self._strangers: dict[bytes, float] = {}
         self._routes = routes
         self._targets = targets
@@ -208,6 +214,7 @@
             if flow.waiting:
                 flow.waiting = False
                 flow.target.waiting -= 1
+                self.answer_times.append(now - flow.asked_at)
         if moved or not known:
             flow.acked = packet.ack
         if not packet.size:
@@ -217,6 +224,7 @@
             flow.top = end
             if not flow.waiting:
                 flow.waiting = True
+                flow.asked_at = now
                 flow.target.waiting += 1
         elif not moved:
             self.suspicion.note_repeat(flow, now)
--- a/kumquatshift/eventlog.py
+++ b/kumquatshift/eventlog.py
@@ -35,6 +35,8 @@
         self._flow_text = flow_text
         self._descriptor = descriptor
         self._buffer = b""
+        self.counts: dict[Event, int] = dict.fromkeys(Event, 0)
+        self.lines_left_out = 0
         self._second = 0
         self._written: dict[Event, int] = {}
         self._left_out: dict[Event, int] = {}
@@ -42,13 +44,14 @@
 
     def emit(self, event: Event, **inputs: object) -> None:
         """Write one event with the inputs that decided it."""
+        self.counts[event] += 1
         second = int(self._clock.seconds())
         if second != self._second:
             self._begin(second)
         written = self._written.get(event, 0)
         budget = ROUTINE_LINES_PER_S if event in ROUTINE else OTHER_LINES_PER_S
         if written >= budget:
-            self._left_out[event] = self._left_out.get(event, 0) + 1
+            self._leave_out(event)
             return
         self._written[event] = written + 1
         self._write(event, inputs)
@@ -66,6 +69,10 @@
             written = len(self._buffer)
         self._buffer = self._buffer[written:]
 
+    def _leave_out(self, event: Event) -> None:
+        self.lines_left_out += 1
+        self._left_out[event] = self._left_out.get(event, 0) + 1
+
     def _begin(self, second: int) -> None:
         self._second = second
         self._written.clear()
@@ -76,7 +83,7 @@
 
     def _write(self, event: Event, inputs: dict[str, object]) -> None:
         if len(self._buffer) >= MAX_BUFFERED_BYTES:
-            self._left_out[event] = self._left_out.get(event, 0) + 1
+            self._leave_out(event)
             self.flush()
             return
         flow = inputs.get("flow")
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+from collections import deque
 
 from ..adapters.epoll import EpollReactor
 from ..adapters.http_pages import PageAnswer, PageServer
@@ -26,6 +27,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from ..adapters.entry_metrics import EntryMetrics
     from ..adapters.neighbours import Neighbours
 
 # What came while the process started is forwarded first.
@@ -35,6 +37,12 @@
 LATEST_MEETING_S = 1.0
 
 READY_PATH = b"/api/ready"
+METRICS_PATH = b"/metrics"
+DUMP_PATH = b"/dump"
+
+# Delays of the loop kept until they are next asked for, one a second.
+KEPT_DELAYS = 600
+
 SWEEP_S = 1.0
 STOP_CHECK_S = 0.1
 
@@ -64,6 +72,9 @@
         )
         self._lifecycle = Lifecycle(bounds.stop_s)
         self._was_ready = False
+        self._metrics: EntryMetrics | None = None
+        self._loop_delays: deque[float] = deque(maxlen=KEPT_DELAYS)
+        self._sweep_due = reactor.seconds() + SWEEP_S
         self._readers: list[StoreReader] = []
         self._feeds: dict[str, Feed] = {}
         self._warmup = warmup
@@ -73,8 +84,14 @@
 
     def start(self) -> None:
         """Open all ports and begin to read the store."""
-        pages = {READY_PATH: self._ready_page}
+        pages = {
+            READY_PATH: self._ready_page,
+            METRICS_PATH: lambda query: self._own_page("metrics_page"),
+            DUMP_PATH: lambda query: self._own_page("dump_page"),
+        }
         PageServer(self._reactor, self._settings.readiness, pages)
+        host, _ = self._settings.readiness
+        PageServer(self._reactor, (host, self._settings.metrics_port), pages)
         self._read_store()
         self._reactor.callLater(LATEST_MEETING_S, self._meet)
         self._reactor.on_signal(signal.SIGTERM, self._stop)
@@ -129,7 +146,50 @@
             self._log.emit(Event.READY if ready else Event.UNREADY)
         return PageAnswer(200 if ready else 503)
 
+    def _own_page(self, page: str) -> PageAnswer:
+        """Show metrics or the whole state; what that takes is imported now."""
+        if self._metrics is None:
+            from ..adapters import entry_metrics  # noqa: PLC0415 (see its module)
+
+            sources = entry_metrics.Sources(
+                name=self._settings.name,
+                site=self._site,
+                steering=self._steering,
+                log=self._log,
+                feeds=self._feeds,
+                drops=self._port.drops,
+                store_outcomes=self._store_outcomes,
+                drain_times=lambda: {
+                    entry_metrics.ANSWERS: _drained(self._steering.answer_times),
+                    entry_metrics.LOOP_DELAY: _drained(self._loop_delays),
+                    entry_metrics.STORE_LISTS: [
+                        each
+                        for reader in self._readers
+                        for each in _drained(reader.call_times)
+                    ],
+                },
+                is_ready=lambda: self._was_ready,
+                members=self._member_names,
+            )
+            self._metrics = entry_metrics.EntryMetrics(self._reactor, sources)
+        return PageAnswer(200, getattr(self._metrics, page)())
+
+    def _store_outcomes(self) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for reader in self._readers:
+            for outcome, count in reader.outcomes.items():
+                total[outcome] = total.get(outcome, 0) + count
+        return total
+
+    def _member_names(self) -> list[str]:
+        if self._neighbours is None:
+            return [self._settings.name]
+        return self._neighbours.names()
+
     def _sweep(self) -> None:
+        now = self._reactor.seconds()
+        self._loop_delays.append(max(0.0, now - self._sweep_due))
+        self._sweep_due = now + SWEEP_S
         self._reactor.callLater(SWEEP_S, self._sweep)
         self._steering.expire(self._reactor.seconds())
         self._log.flush()
@@ -203,6 +263,13 @@
     reactor.run()
 
 
+def _drained(times: deque[float]) -> list[float]:
+    """Hand over the times that have gathered."""
+    drained = list(times)
+    times.clear()
+    return drained
+
+
 def _stamp(path: str) -> tuple[float, int]:
     """Return what tells one state of a file from another."""
     try:
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ..adapters.http_call import CallFailure, HttpCaller, Response
 from ..direct.feed import Failure, Feed, ListCall, NewsCall, WatchCall
 from .objects import UnreadableError, changes_from, page_from
@@ -18,6 +20,9 @@
 # beside the times at which news comes.
 FOLLOWING_S = 0.25
 
+# List times kept until they are next asked for.
+KEPT_TIMES = 1000
+
 FAILURES = {410: Failure.EXPIRED, 429: Failure.OVERLOADED}
 
 
@@ -30,6 +35,9 @@
         self._feed = feed
         self.codec: NewsCodec | None = None
         self._peer: HttpCaller | None = None
+        self.outcomes: dict[str, int] = {}
+        self.call_times: deque[float] = deque(maxlen=KEPT_TIMES)
+        self._called_at = 0.0
         self._next = None
         self._is_following = False
         self._is_stopped = False
@@ -68,6 +76,7 @@
         elif isinstance(call, NewsCall):
             self._ask(call)
         else:
+            self._called_at = self._reactor.seconds()
             done = self._listed if isinstance(call, ListCall) else self._watched
             self._caller.call("GET", path_of(call), b"", call.timeout_s, done)
 
@@ -102,6 +111,9 @@
 
     def _take(self, answer, decode, take) -> None:
         now = self._reactor.seconds()
+        self._count(answer)
+        if decode is page_from:
+            self.call_times.append(now - self._called_at)
         if isinstance(answer, CallFailure):
             self._feed.take_failure(answer.failure, answer.detail, now)
         elif answer.status != 200:
@@ -115,6 +127,11 @@
         if not self._is_stopped:
             self.start()
 
+    def _count(self, answer: Response | CallFailure) -> None:
+        failed = isinstance(answer, CallFailure)
+        outcome = answer.failure if failed else f"status {answer.status}"
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
 
 def path_of(call: ListCall | WatchCall) -> str:
     """Return the path and query of a call."""
--- a/tests/features/platform_entry.feature
+++ b/tests/features/platform_entry.feature
@@ -73,3 +73,10 @@
     When the store begins to say 503
     And another entry is started at 127.32.1.<9>
     Then it is ready within 6 s
+
+  Scenario: Metrics and a dump show what it does
+    When an entry is started at 127.32.0.<8>
+    Then it is ready within 5 s
+    And an opening packet reaches a target with its key and a cookie
+    When a datagram that is no packet comes
+    Then its metrics and its dump tell of a drop, a flow and 3 targets
--- a/tests/features/steps/platform_entry_steps.py
+++ b/tests/features/steps/platform_entry_steps.py
@@ -30,6 +30,7 @@
 domain = north-a
 packet_address = {host}:7000
 ready_address = {host}:7001
+metrics_port = 7003
 peer_address = {host}:7002
 seeds = {seeds}
 
@@ -342,3 +343,24 @@
 
 
 __all__ = ["CONFIGURATION"]
+
+
+@then("its metrics and its dump tell of a drop, a flow and {count:d} targets")
+def step_metrics(context, count):
+    base = f"http://{context.entry.host}:7003"
+    with urllib.request.urlopen(f"{base}/metrics", timeout=5) as answer:
+        page = answer.read().decode()
+    assert 'kumquatshift_drops_total{reason="malformed"} 1' in page, page
+    assert 'kumquatshift_events_total{reason="flow opened"} 1' in page
+    assert f"kumquatshift_targets {count}" in page
+    assert 'kumquatshift_latency_seconds{profile="loop-delay"' in page
+    with urllib.request.urlopen(f"{base}/dump", timeout=5) as answer:
+        dump = json.load(answer)
+    assert dump["ready"] and len(dump["targets"]) == count
+    assert dump["feeds"]["servers"]["current"]
+
+
+@when("a datagram that is no packet comes")
+def step_malformed(context):
+    send(context, b"junk")
+    time.sleep(1.2)
