--- a/kumquatshift/cli/definition.py
+++ b/kumquatshift/cli/definition.py
@@ -14,6 +14,7 @@
     CheckRequest,
     DiffRequest,
     DumpRequest,
+    ExplainRequest,
     ListRequest,
     RemoveRequest,
     ShowRequest,
@@ -203,6 +204,20 @@
         """
         return CheckRequest(read_word("--settings", settings))
 
+    def explain(self, log, *, flow="", target=""):
+        """Tell from the log of entries why a flow failed, or all that failed.
+
+        Args:
+            log: a file with the lines of one or more entries
+            flow: a flow as in the log, or its caller's address and port
+            target: a target, to tell what entries have seen of it
+        """
+        words = {"--flow": flow, "--target": target}
+        flow, target = (
+            value and read_word(flag, value) for flag, value in words.items()
+        )
+        return ExplainRequest(read_word("--log", log), flow, target)
+
     def wait(self, seconds, *, json="False"):
         """Wait until what stands now is in force at every entry in reach.
 
--- /dev/null
+++ b/kumquatshift/cli/explain.py
@@ -0,0 +1,174 @@
+"""Tell the story of a flow or a target from the log lines of entries.
+
+Log lines are JSON objects; what stands before the first brace of a line, such
+as what a collector adds, is passed over. The cause is named only where lines
+show it; else the answer says that they do not.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+#: Lines about a target or an entry belong to a flow's story within this time.
+AROUND_S = 5.0
+
+_OWN_FIELDS = ("time", "uptime_s", "entry", "event")
+
+_RESET_CAUSES = {
+    "target_silent": "its target stopped to answer, and its flows were given up",
+    "target_gone": "its target had ended and was off the list",
+    "unknown_cookie": "its target was not on the list of the entry that it came to",
+    "no_route": "no route led to the address and port that the caller asked for",
+    "no_target": "no target of the service could take a flow",
+}
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One line of an entry's log."""
+
+    time: float
+    entry: str
+    event: str
+    fields: dict
+
+    def __str__(self):
+        told = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.time:.3f} {self.entry}: {self.event} {told}".rstrip()
+
+
+@dataclass(frozen=True)
+class Story:
+    """Lines in the order of their time, and what they come to."""
+
+    lines: tuple[LogLine, ...]
+    cause: str
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    """Read log lines, and pass over what is none."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+            fields = {k: v for k, v in line.items() if k not in _OWN_FIELDS}
+            yield LogLine(float(line["time"]), line["entry"], line["event"], fields)
+        except (ValueError, TypeError, KeyError, AttributeError):
+            continue
+
+
+def explain_flow(lines: Iterable[LogLine], flow: str) -> Story:
+    """Tell what became of a flow, given as in the log or as its caller's end."""
+    lines = sorted(lines, key=lambda line: line.time)
+    own = [ln for ln in lines if _is_of_flow(ln, flow)]
+    if not own:
+        return Story((), f"no line names {flow}; it may have met no entry")
+    begin, end = own[0].time - AROUND_S, own[-1].time + AROUND_S
+    targets = {ln.fields[key] for ln in own for key in _TARGET_KEYS if key in ln.fields}
+    entries = {line.entry for line in own}
+    around = [
+        line
+        for line in lines
+        if begin <= line.time <= end
+        and (line in own or _is_about(line, targets, entries))
+    ]
+    return Story(tuple(around), _cause(own, around, targets, entries))
+
+
+def explain_target(lines: Iterable[LogLine], target: str) -> Story:
+    """Tell what entries have seen of a target, without the flows placed there."""
+    own = sorted(
+        (
+            line
+            for line in lines
+            if line.fields.get("target") == target and line.event != "flow opened"
+        ),
+        key=lambda line: line.time,
+    )
+    if not own:
+        return Story((), f"no line names {target}")
+    counts = Counter(line.event for line in own)
+    told = ", ".join(f"{count} {event}" for event, count in counts.items())
+    return Story(tuple(own), told)
+
+
+def explain_failures(lines: Iterable[LogLine]) -> Story:
+    """Tell how many flows were refused, reset or lost packets, by cause."""
+    failed = [line for line in lines if line.event in _FAILURES]
+    counts = Counter((line.event, line.fields.get("reason", "")) for line in failed)
+    told = [
+        f"{count} x {event} ({reason})" for (event, reason), count in counts.items()
+    ]
+    return Story(
+        tuple(sorted(failed, key=lambda line: line.time)),
+        "; ".join(told) or "no flow was refused or reset, and no packet dropped",
+    )
+
+
+_TARGET_KEYS = ("target", "silent")
+_FAILURES = ("flow refused", "flow reset", "packet dropped")
+_ENTRY_EVENTS = (
+    "started",
+    "stopping",
+    "stopped",
+    "unready",
+    "store lost",
+    "store regained",
+    "internal error",
+)
+_TARGET_EVENTS = (
+    "target suspected",
+    "target trusted",
+    "target draining",
+    "target gone",
+)
+
+
+def _is_of_flow(line: LogLine, flow: str) -> bool:
+    named = str(line.fields.get("flow", ""))
+    return named == flow or named.startswith(f"{flow}>")
+
+
+def _is_about(line: LogLine, targets: set[str], entries: set[str]) -> bool:
+    if line.event in _TARGET_EVENTS:
+        return line.fields.get("target") in targets
+    return line.event in _ENTRY_EVENTS and line.entry in entries
+
+
+def _cause(own, around, targets, entries) -> str:
+    last = own[-1]
+    reason = last.fields.get("reason", "")
+    if last.event in ("flow reset", "flow refused") and reason in _RESET_CAUSES:
+        return f"{last.event}: {_RESET_CAUSES[reason]}"
+    if last.event == "packet dropped":
+        return f"its last packet was dropped by {last.entry}: {reason}"
+    later = [line for line in around if line.time >= last.time]
+    for line in later:
+        if line.event in ("target suspected", "target gone"):
+            return (
+                f"{line.event}: {line.fields.get('target')} after the flow was placed"
+            )
+    for entry in sorted(entries):
+        if _died(around, entry):
+            return f"{entry} ended without a stop: it was killed or lost its power"
+    return "the lines do not tell what became of it after it was placed"
+
+
+def _died(lines, entry) -> bool:
+    """Tell whether an entry started again without having stopped."""
+    running = False
+    for line in lines:
+        if line.entry != entry:
+            continue
+        if line.event == "started":
+            if running:
+                return True
+            running = True
+        elif line.event == "stopped":
+            running = False
+        else:
+            running = True
+    return False
--- a/kumquatshift/cli/parsing.py
+++ b/kumquatshift/cli/parsing.py
@@ -23,7 +23,7 @@
 WORDS = {
     *("profile", "service", "target", "domain"),
     *("list", "show", "apply", "remove", "admit", "retire", "out", "in", "into"),
-    *("diff", "status", "dump", "wait", "check"),
+    *("diff", "status", "dump", "wait", "check", "explain"),
 }
 
 
--- a/kumquatshift/cli/requests.py
+++ b/kumquatshift/cli/requests.py
@@ -88,6 +88,18 @@
     path: str
 
 
+@dataclass(frozen=True)
+class ExplainRequest:
+    """The story of a flow, a target or all failures, from log files.
+
+    Without a flow and a target it is that of all failures.
+    """
+
+    path: str
+    flow: str = ""
+    target: str = ""
+
+
 @dataclass(frozen=True)
 class WaitRequest:
     """Wait until the configuration that stands now is in force everywhere."""
@@ -106,5 +118,6 @@
     | StatusRequest
     | DumpRequest
     | CheckRequest
+    | ExplainRequest
     | WaitRequest
 )
--- a/kumquatshift/programs/ctl.py
+++ b/kumquatshift/programs/ctl.py
@@ -11,9 +11,10 @@
 from ..cli.constants import PROGRAM
 from ..cli.entries import Entry, EntryClient
 from ..cli.execution import Executor
+from ..cli.explain import explain_failures, explain_flow, explain_target, read_lines
 from ..cli.parsing import load_settings, parse
 from ..cli.printing import Printer
-from ..cli.requests import CheckRequest
+from ..cli.requests import CheckRequest, ExplainRequest
 from ..context import Environment
 from ..settings.check import check
 from ..settings.common import LogFormat, LogLevel
@@ -56,6 +57,8 @@
         return Printer(env).failure(request.failure())
     if isinstance(request.unwrap(), CheckRequest):
         return check(CtlSettings, request.unwrap().path, env)
+    if isinstance(request.unwrap(), ExplainRequest):
+        return explain(request.unwrap(), env)
     settings = load_settings(args, env)
     if not is_successful(settings):
         return Printer(env).failure(settings.failure())
@@ -66,6 +69,26 @@
     return Executor(platform, entry_client, reactor, env, peers), request.unwrap()
 
 
+def explain(request: ExplainRequest, env: Environment) -> ExitStatus:
+    """Print the story that a log tells; needs no site to be reached."""
+    try:
+        with open(request.path, encoding="utf-8", errors="replace") as file:
+            lines = list(read_lines(file))
+    except OSError as exc:
+        env.stderr.write(f"{PROGRAM}: {request.path}: {exc.strerror}\n")
+        return ExitStatus.NOT_FOUND
+    if request.flow:
+        story = explain_flow(lines, request.flow)
+    elif request.target:
+        story = explain_target(lines, request.target)
+    else:
+        story = explain_failures(lines)
+    for line in story.lines:
+        env.stdout.write(f"{line}\n")
+    env.stdout.write(f"cause: {story.cause}\n")
+    return ExitStatus.SUCCESS
+
+
 def _run_reactor(reactor, executor, request, env):
     statuses = []
 
--- /dev/null
+++ b/tests/features/explain.feature
@@ -0,0 +1,38 @@
+Feature: kumquat-ctl explains a failed flow from the log alone
+
+  Scenario Outline: The cause is named where lines show it
+    Given a log in which <story>
+    When kumquat-ctl explains the flow 100.64.0.7:1031
+    Then the explanation says "<cause>"
+
+    Examples:
+      | story                                          | cause                                   |
+      | the flow is reset for a silent target          | its target stopped to answer            |
+      | the flow is reset for a target that has ended  | its target had ended                    |
+      | the flow is refused for want of a target       | no target of the service could take     |
+      | the flow is refused for want of a route        | no route led to the address and port    |
+      | the target falls silent after the flow opened  | target suspected: i-7                   |
+      | the entry dies after the flow opened           | it was killed or lost its power         |
+      | a packet of the flow is dropped                | its last packet was dropped by e1       |
+      | nothing more is told of the flow               | the lines do not tell                   |
+      | other flows alone are told of                  | no line names 100.64.0.7:1031           |
+
+  Scenario: What is no log line is passed over
+    Given a log in which the flow is reset for a silent target
+    And the log holds other text, broken lines and a collector's prefixes
+    When kumquat-ctl explains the flow 100.64.0.7:1031
+    Then the explanation says "its target stopped to answer"
+
+  Scenario: All failures are counted by cause
+    Given a log in which the flow is reset for a silent target
+    When kumquat-ctl explains all failures
+    Then the explanation says "1 x flow reset (target_silent)"
+
+  Scenario: What entries have seen of a target is told in order
+    Given a log in which the flow is reset for a silent target
+    When kumquat-ctl explains the target i-7
+    Then the explanation says "1 target suspected"
+
+  Scenario: A log that is not there is told
+    When kumquat-ctl explains the log "build/no-such.log"
+    Then kumquat-ctl explains nothing, and says "No such file"
