--- a/kumquatshift/direct/flows.py
+++ b/kumquatshift/direct/flows.py
@@ -71,6 +71,10 @@
         """Return what is known of a flow, or None."""
         return self._flows.get(key)
 
+    def at(self, targets: set[LiveTarget]) -> list[tuple[bytes, Flow]]:
+        """Return the flows at any of these targets, with their keys."""
+        return [(k, flow) for k, flow in self._flows.items() if flow.target in targets]
+
     def add(self, key: bytes, target: LiveTarget, now: float) -> Flow:
         """Note a flow at its target."""
         if len(self._flows) >= self._limit:
--- a/kumquatshift/direct/packets.py
+++ b/kumquatshift/direct/packets.py
@@ -65,4 +65,11 @@
     reason: Reason
 
 
+class LostFlow(NamedTuple):
+    """An open flow whose target has ended; ``ack`` is its caller's last one."""
+
+    flow: bytes
+    ack: int
+
+
 Decision = Forward | Reset | Drop
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -12,7 +12,7 @@
 
 from .events import Event
 from .flows import Flow, FlowTable
-from .packets import Decision, Drop, Forward, Packet, Reason, Reset
+from .packets import Decision, Drop, Forward, LostFlow, Packet, Reason, Reset
 from .placement import Placement
 from .routes import Route, RouteTable, share_of
 from .suspicion import MIN_REPEAT_GAP_S, Suspicion
@@ -74,6 +74,32 @@
             return self._opening(packet, route, now)
         return self._later(packet, now)
 
+    def lost_flows(self, now: float) -> list[LostFlow]:
+        """Give up the open flows of targets that have ended; return them.
+
+        A caller that hears of it before its next request opens another flow for
+        it at once, and loses nothing; one that sends it first can not send a
+        request that is not idempotent again.
+        """
+        ended = {t for t in self._targets.known() if t.flows and self._ended(t, now)}
+        if not ended:
+            return []
+        lost = []
+        for key, flow in self.flows.at(ended):
+            self.flows.remove(key)
+            if flow.is_open and not flow.is_closing and flow.acked >= 0:
+                lost.append(LostFlow(key, flow.acked))
+                self._tell_reset(key, flow, self._end_of(flow.target), now)
+        return lost
+
+    def _ended(self, target: LiveTarget, now: float) -> bool:
+        if self._placement.is_gone(target, now):
+            return True
+        return self.suspicion.is_dead(target, now)
+
+    def _end_of(self, target: LiveTarget) -> Reason:
+        return Reason.TARGET_SILENT if target.listed else Reason.TARGET_GONE
+
     def expire(self, now: float) -> None:
         """Forget what is over; to be called about once a second."""
         self.flows.expire(now, self._routes.idle_timeout_s)
@@ -164,10 +190,11 @@
             elif flow.target is not target:
                 self.flows.move(flow, target)
         self._note_packet(flow, packet, now)
-        if packet.size and self._placement.is_gone(flow.target, now):
-            return self._give_up(packet, flow, Reason.TARGET_GONE, now)
-        if packet.size and self.suspicion.is_dead(flow.target, now):
-            return self._give_up(packet, flow, Reason.TARGET_SILENT, now)
+        if packet.size and self._ended(flow.target, now):
+            reason = self._end_of(flow.target)
+            self._tell_reset(packet.flow, flow, reason, now)
+            self.flows.remove(packet.flow)
+            return Reset(reason)
         flow.sent_at = flow.seen_at = now
         flow.is_closing = flow.is_closing or packet.is_last
         return Forward(flow.target)
@@ -229,20 +256,17 @@
         elif not moved:
             self.suspicion.note_repeat(flow, now)
 
-    def _give_up(
-        self, packet: Packet, flow: Flow, reason: Reason, now: float
-    ) -> Decision:
+    def _tell_reset(self, key: bytes, flow: Flow, reason: Reason, now: float) -> None:
         target = flow.target
         self._events.emit(
             Event.FLOW_RESET,
-            flow=packet.flow,
+            flow=key,
             reason=reason.value,
             target=target.name,
             repeats=flow.repeats,
+            waiting=flow.waiting,
             silent_s=round(now - target.progress_at, 3),
         )
-        self.flows.remove(packet.flow)
-        return Reset(reason)
 
 
 def _no(now: float) -> bool:
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -39,8 +39,9 @@
 # reset at a target that lives would cut a request that may be running.
 DEAD_AFTER_S = 0.6
 
-# A suspected target gets one new flow as a probe in this time.
-PROBE_EVERY_S = 1.0
+# A suspected target gets one new flow as a probe in this time. A dead one is off
+# the platform's list before the first, so that no caller waits for a copy.
+PROBE_EVERY_S = 2.5
 
 
 # Without an answer of any target for this long, while several are complained
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -132,6 +132,10 @@
     def __iter__(self) -> Iterator[LiveTarget]:
         return iter(self._listed.values())
 
+    def known(self) -> Iterable[LiveTarget]:
+        """Return all targets, with those remembered as gone."""
+        return self._remembered.values()
+
     def get(self, name: str) -> LiveTarget | None:
         """Return the listed target of this name, or None."""
         return self._listed.get(name)
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -44,6 +44,10 @@
 KEPT_DELAYS = 600
 
 SWEEP_S = 1.0
+
+# How often targets that have ended are looked for: callers of resting flows
+# send their next request within a second or so.
+LOST_FLOWS_S = 0.1
 STOP_CHECK_S = 0.1
 
 
@@ -98,6 +102,7 @@
         self._reactor.on_signal(signal.SIGINT, self._stop)
         self._reactor.on_signal(signal.SIGHUP, self._reload)
         self._reactor.callLater(SWEEP_S, self._sweep)
+        self._reactor.callLater(LOST_FLOWS_S, self._end_lost_flows)
         self._log.emit(Event.STARTED, domain=self._settings.domain)
 
     def _read_store(self) -> None:
@@ -196,6 +201,10 @@
         if _stamp(self._settings_path) != self._settings_stamp:
             self._reload()
 
+    def _end_lost_flows(self) -> None:
+        self._reactor.callLater(LOST_FLOWS_S, self._end_lost_flows)
+        self._port.end_lost_flows()
+
     def _reload(self) -> None:
         self._settings_stamp = _stamp(self._settings_path)
         try:
--- a/kumquatshift/platform/port.py
+++ b/kumquatshift/platform/port.py
@@ -72,15 +72,13 @@
             cookie = target.cookie(packet.place)
             self._send(forwarded(data, target.key, cookie), target.address)
         elif isinstance(decision, Reset):
-            self.resets += 1
             if packet.is_syn:
                 self._events.emit(
                     Event.FLOW_REFUSED,
                     flow=packet.flow,
                     reason=decision.reason.value,
                 )
-            place = (caller_host(packet.flow), self._callers_port)
-            self._send(reset(packet.flow, packet.ack), place)
+            self._reset(packet.flow, packet.ack)
         elif isinstance(decision, Drop):
             self.drops[decision.reason] += 1
             self._events.emit(
@@ -92,6 +90,16 @@
                 size=packet.size,
             )
 
+    def end_lost_flows(self) -> None:
+        """Tell callers whose targets have ended; to be called often."""
+        for lost in self._steering.lost_flows(self.now()):
+            self._reset(lost.flow, lost.ack)
+
+    def _reset(self, flow: bytes, ack: int) -> None:
+        self.resets += 1
+        place = (caller_host(flow), self._callers_port)
+        self._send(reset(flow, ack), place)
+
     def _send(self, data: bytes, place: tuple[str, int]) -> None:
         try:
             self._sock.sendto(data, place)
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -90,3 +90,16 @@
     And the same callers send 60 requests a second for 4 s
     Then each entry suspects only the silent target
     And at least 0.99 of the later requests are answered, the slowest after 1.9 s
+
+  Scenario Outline: Callers at rest hear that their target has ended before they ask
+    Given a direct site of entries in a, a with 4 targets in a and 0 in b
+    When 40 callers that try once send 100 requests a second for 2 s
+    And the first target falls silent
+    And <news> while 4 of its callers rest
+    And those callers send their next requests
+    Then all of these are answered, each within 0.1 s
+
+    Examples:
+      | news                                   |
+      | the others go on to send for 2 s       |
+      | it leaves the list 1 s later           |
--- a/tests/support/direct_site.py
+++ b/tests/support/direct_site.py
@@ -20,6 +20,7 @@
 from kumquatshift.standins.direct_flows import FlowCaller, FlowTarget, Head
 
 WAY_S = 0.001
+LOST_FLOWS_S = 0.1
 STEP_S = 0.005
 PLACE = ("198.18.0.1", 443)
 SERVICE = "tills"
@@ -74,6 +75,12 @@
         self.is_up = True
         sock = NoSocket(net.from_entry)
         self.port = PacketPort(net.clock, sock, self.steering, self.events)
+        self._clock = net.clock
+        self._end_lost_flows()
+
+    def _end_lost_flows(self):
+        self._clock.callLater(LOST_FLOWS_S, self._end_lost_flows)
+        self.port.end_lost_flows()
 
     def receive(self, data):
         if self.is_up:
