--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -246,6 +246,8 @@
     else:
         busy = [c for c in context.callers if c not in context.resting]
         load(site, busy + at_target[count:], 60, 2)
+        # By now the platform has missed three heartbeats.
+        site.unlist("a0")
 
 
 @when("those callers send their next requests")
