--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -232,7 +232,8 @@
 
     def _note_packet(self, flow: Flow, packet: Packet, now: float) -> None:
         """Learn from a packet whether the flow's target answers."""
-        first = not flow.is_open
+        # A caller that gives up on opening may still say that it closes.
+        first = not flow.is_open and not packet.is_last
         flow.is_open = True
         known = flow.acked >= 0
         moved = known and _is_after(packet.ack, flow.acked)
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -103,3 +103,9 @@
       | news                                   |
       | the others go on to send for 2 s       |
       | it leaves the list 1 s later           |
+
+  Scenario: A caller that closes what never opened is no sign of life
+    Given a direct site of entries in a with 2 targets in a and 0 in b
+    When every target falls silent
+    And a caller opens a flow and closes it after 0.1 s
+    Then no target has been seen to answer since
--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -3,6 +3,7 @@
 from kumquatshift.direct import suspicion
 from kumquatshift.direct.events import Event
 from kumquatshift.direct.suspicion import Suspect
+from kumquatshift.platform.packets import ACK, FIN
 from kumquatshift.standins.direct_flows import Outcome
 from tests.support.direct_site import load
 
@@ -262,3 +263,20 @@
     last = [caller.requests[-1] for caller in context.resting]
     bad = [r for r in last if r.outcome is not Outcome.ANSWERED or r.took_s > limit]
     assert last and not bad, bad[:3]
+
+
+@when("a caller opens a flow and closes it after {seconds:g} s")
+def step_open_and_close(context, seconds):
+    site = context.direct
+    context.since = site.clock.seconds()
+    caller = site.add_caller()
+    caller.ask(b"never opened")
+    site.run(seconds, 0.01)
+    caller._packet(FIN | ACK)
+    site.run(0.1, 0.01)
+
+
+@then("no target has been seen to answer since")
+def step_no_answer_seen(context):
+    seen = [t.progress_at for t in context.direct.entries[0].site.targets]
+    assert max(seen) <= context.since, seen
