--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -51,6 +51,10 @@
 RETRY_S = 0.3
 RETRY_OVERLOADED_S = 1.0
 
+# An entry that others read for asks for itself now and then all the same: the
+# store may refuse just the readers.
+RETRY_FOLLOWER_S = 1.2
+
 # What a follower needs to read for itself once its news is too old: a list
 # of all objects, from a store that is not slow.
 SELF_READ_S = 0.6
@@ -357,12 +361,17 @@
                 confirmed_s_ago=round(now - self.confirmed_at, 3),
             )
         self.is_current = False
-        overloaded = failure == Failure.OVERLOADED
-        self._not_before = now + (RETRY_OVERLOADED_S if overloaded else RETRY_S)
+        self._not_before = now + self._retry_s(failure)
         if failure == Failure.TIMEOUT:
             longer_s = self._timeout_s * TIMEOUT_GROWTH
             self._timeout_s = min(LONGEST_TIMEOUT_S, longer_s)
 
+    def _retry_s(self, failure: str) -> float:
+        shares = self._members is not None and self._members.shares()
+        if shares and not self.is_reader:
+            return RETRY_FOLLOWER_S
+        return RETRY_OVERLOADED_S if failure == Failure.OVERLOADED else RETRY_S
+
     def _note_duty(self, is_reader: bool) -> None:
         if is_reader != self.is_reader:
             self.is_reader = is_reader
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -159,14 +159,16 @@
         return len(self.names()) >= MIN_SHARING
 
     def is_reader(self, kind: str, reaches_store: bool) -> bool:
-        """Tell whether this entry is one of those that read for the domain."""
-        able = [
-            heard.beat.name
-            for heard in self.peers()
-            if heard.beat.reaches_store and not heard.beat.is_leaving
-        ]
-        if reaches_store or not able:
+        """Tell whether this entry is one of those that read for the domain.
+
+        While nobody reaches the store, it is one of those that ask for it often.
+        """
+        staying = [h.beat for h in self.peers() if not h.beat.is_leaving]
+        able = [beat.name for beat in staying if beat.reaches_store]
+        if reaches_store:
             able.append(self.me.name)
+        if not able:
+            able = [self.me.name, *(beat.name for beat in staying)]
         able.sort(key=lambda name: _score(kind, name), reverse=True)
         return self.me.name in able[:READERS]
 
--- a/kumquatshift/measures/registry.py
+++ b/kumquatshift/measures/registry.py
@@ -54,6 +54,14 @@
             "goodput_overload_ratio",
         ),
     ),
+    Group(
+        "start",
+        (
+            "direct_start_cpu_seconds",
+            "direct_start_memory_mb",
+            "direct_start_ratio_to_asyncio",
+        ),
+    ),
     Group("packets", ("pps_ratio_home", "pps_ratio_relay", "bytes_per_flow")),
 )
 
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -71,3 +71,15 @@
     When objects go and come while the store is silent for 6 s
     Then within 4 s every entry knows what the store has
     And at most 2 times all objects were asked of a peer
+
+  Scenario Outline: While the store is away, its readers alone ask for it often
+    Given a domain of 20 entries that has run for 8 s
+    When the store <trouble> for 10 s
+    Then at most <calls> calls were made meanwhile
+    When an object changes 0.1 s later
+    Then every entry that reaches the store knows it within 3.0 s
+
+    Examples:
+      | trouble   | calls |
+      | refuses   | 250   |
+      | is silent | 250   |
--- a/tests/features/steps/direct_news_steps.py
+++ b/tests/features/steps/direct_news_steps.py
@@ -189,3 +189,10 @@
 def step_equal(context, limit):
     context.news.run(limit)
     step_all_know(context)
+
+
+@then("at most {calls:d} calls were made meanwhile")
+def step_meanwhile(context, calls):
+    made = sum(len(node.calls) for node in context.news.nodes)
+    print(f"{made} calls")
+    assert made <= calls, made
