--- a/kumquatshift/adapters/http_call.py
+++ b/kumquatshift/adapters/http_call.py
@@ -13,7 +13,7 @@
 
 from httptools.parser.parser import HttpResponseParser
 
-from ..direct.feed import Failure
+from ..direct.calls import Failure
 from .epoll import Descriptor
 
 RECEIVE_BYTES = 65_536
--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from ..direct.feed import Change, Item, NewsAnswer, Tick
+from ..direct.calls import Change, Item, NewsAnswer, Tick
 from ..direct.members import Beat, Member
 from ..direct.suspicion import Answering, Suspect
 from .epoll import Descriptor
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -14,8 +14,8 @@
 
 import xxhash
 
+from .calls import Tick
 from .events import Event
-from .feed import Tick
 from .suspicion import Answering, Suspect
 
 TYPE_CHECKING = False
--- a/kumquatshift/direct/news.py
+++ b/kumquatshift/direct/news.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from .feed import Tick
+from .calls import Tick
 from .members import Members
 
 
--- a/kumquatshift/direct/packets.py
+++ b/kumquatshift/direct/packets.py
@@ -43,7 +43,6 @@
     UNKNOWN_COOKIE = "unknown_cookie"
     TARGET_GONE = "target_gone"
     TARGET_SILENT = "target_silent"
-    NOT_READY = "not_ready"
     SEND_FAILED = "send_failed"
 
 
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -10,8 +10,9 @@
 
 from ..adapters.epoll import EpollReactor
 from ..adapters.http_pages import PageAnswer, PageServer
+from ..direct.calls import Change, Item
 from ..direct.events import Event
-from ..direct.feed import Change, Feed, Item, Pace
+from ..direct.feed import Feed, Pace
 from ..direct.lifecycle import Lifecycle
 from ..direct.placement import Placement
 from ..direct.settings import DirectSettings, SettingsError
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -5,7 +5,7 @@
 import json
 import socket
 
-from ..direct.feed import Change, Changes, Item, Page
+from ..direct.calls import Change, Changes, Item, Page
 from ..direct.routes import Configuration, Route, ServiceLimits, Share
 from ..direct.targets import Report
 from .packets import place_of
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -9,7 +9,8 @@
 from collections import deque
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
-from ..direct.feed import Failure, Feed, ListCall, NewsCall, WatchCall
+from ..direct.calls import Failure, ListCall, NewsCall, WatchCall
+from ..direct.feed import Feed
 from .objects import UnreadableError, changes_from, page_from
 
 TYPE_CHECKING = False
--- a/kumquatshift/platform/takers.py
+++ b/kumquatshift/platform/takers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ..direct.calls import Change, Item
 from ..direct.events import Event
-from ..direct.feed import Change, Item
 from ..direct.site import Site
 from ..direct.targets import Report
 from . import objects
--- a/tests/features/steps/platform_store_steps.py
+++ b/tests/features/steps/platform_store_steps.py
@@ -3,7 +3,8 @@
 from behave import given, then, when
 from twisted.internet import reactor
 
-from kumquatshift.direct.feed import Change, Changes, Feed, Item, Pace, Page
+from kumquatshift.direct.calls import Change, Changes, Item, Page
+from kumquatshift.direct.feed import Feed, Pace
 from kumquatshift.direct.placement import Placement
 from kumquatshift.direct.site import Site
 from kumquatshift.direct.warmup import Warmup, WarmupBounds
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,9 +15,10 @@
 
 from kumquatshift.platform.packets import flow_text
 from kumquatshift.standins.direct_flows import Head, Outcome
+from tests.support.direct_settings import READY_PORT
 
 from .faults import FAULTS
-from .site import DOMAINS, READY_PORT, SERVICES, SoakSite
+from .site import DOMAINS, SERVICES, SoakSite
 
 STABLE_S = 4.0
 DRAIN_S = 3.0
--- /dev/null
+++ b/tests/support/direct_settings.py
@@ -0,0 +1,26 @@
+"""The settings file of an entry with direct return, for tests."""
+
+PACKET_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 7000, 7001, 7002, 7003
+
+TEXT = """[entry]
+name = {name}
+domain = {domain}
+packet_address = {host}:7000
+ready_address = {host}:7001
+metrics_port = 7003
+peer_address = {host}:7002
+seeds = {seeds}
+
+[store]
+address = {store}
+heartbeat_ms = 770
+
+[bounds]
+stable_window_ms = 4000
+drain_ms = 3000
+config_ms = 3000
+evacuate_ms = 5000
+stop_s = 6
+warmup_burst_factor = 1.5
+warmup_slack = 5
+"""
