--- a/kumquatshift/direct/events.py
+++ b/kumquatshift/direct/events.py
@@ -27,6 +27,7 @@
     STOPPED = "stopped"
     SETTINGS_RELOADED = "settings reloaded"
     SETTINGS_REJECTED = "settings rejected"
+    METRICS_PORT_TAKEN = "metrics port taken"
     STORE_LOST = "store lost"
     STORE_REGAINED = "store regained"
     STORE_HISTORY_GONE = "store history gone"
--- a/kumquatshift/direct/settings.py
+++ b/kumquatshift/direct/settings.py
@@ -48,7 +48,6 @@
     peers: Address
     seeds: tuple[Address, ...]
     store: Address
-    heartbeat_s: float
     bounds: Bounds
 
     @classmethod
@@ -78,7 +77,6 @@
             peers=reader.read("entry", "peer_address", _address),
             seeds=reader.read("entry", "seeds", _addresses),
             store=reader.read("store", "address", _address),
-            heartbeat_s=reader.read("store", "heartbeat_ms", _seconds),
             bounds=Bounds(
                 stable_window_s=reader.read("bounds", "stable_window_ms", _seconds),
                 drain_s=reader.read("bounds", "drain_ms", _seconds),
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -92,14 +92,6 @@
                 self._tell_reset(key, flow, self._end_of(flow.target), now)
         return lost
 
-    def _ended(self, target: LiveTarget, now: float) -> bool:
-        if self._placement.is_gone(target, now):
-            return True
-        return self.suspicion.is_dead(target, now)
-
-    def _end_of(self, target: LiveTarget) -> Reason:
-        return Reason.TARGET_SILENT if target.listed else Reason.TARGET_GONE
-
     def expire(self, now: float) -> None:
         """Forget what is over; to be called about once a second."""
         self.flows.expire(now, self._routes.idle_timeout_s)
@@ -205,9 +197,10 @@
         return flow.is_open and now - flow.seen_at < STICKS_FOR_S
 
     def _unknown_cookie(self, packet: Packet, now: float) -> Decision:
-        """Reset a flow whose target has ended, or started too lately to be known.
+        """Reset a flow whose target is not on the list.
 
-        Which of both shows when the caller sends again.
+        It has ended, or has started too lately to be known here; which of both
+        shows when the caller sends again, and the list is newer than the flow.
         """
         if not packet.size:
             return Drop(Reason.UNKNOWN_COOKIE)
@@ -232,7 +225,7 @@
 
     def _note_packet(self, flow: Flow, packet: Packet, now: float) -> None:
         """Learn from a packet whether the flow's target answers."""
-        # A caller that gives up on opening may still say that it closes.
+        # A close says nothing of the target, even as the first packet seen here.
         first = not flow.is_open and not packet.is_last
         flow.is_open = True
         known = flow.acked >= 0
@@ -257,6 +250,14 @@
         elif not moved:
             self.suspicion.note_repeat(flow, now)
 
+    def _ended(self, target: LiveTarget, now: float) -> bool:
+        if self._placement.is_gone(target, now):
+            return True
+        return self.suspicion.is_dead(target, now)
+
+    def _end_of(self, target: LiveTarget) -> Reason:
+        return Reason.TARGET_SILENT if target.listed else Reason.TARGET_GONE
+
     def _tell_reset(self, key: bytes, flow: Flow, reason: Reason, now: float) -> None:
         target = flow.target
         self._events.emit(
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -91,12 +91,17 @@
         """Open all ports and begin to read the store."""
         pages = {
             READY_PATH: self._ready_page,
-            METRICS_PATH: lambda query: self._own_page("metrics_page"),
-            DUMP_PATH: lambda query: self._own_page("dump_page"),
+            METRICS_PATH: lambda query: PageAnswer(200, self._own().metrics_page()),
+            DUMP_PATH: lambda query: PageAnswer(200, self._own().dump_page()),
         }
         PageServer(self._reactor, self._settings.readiness, pages)
         host, _ = self._settings.readiness
-        PageServer(self._reactor, (host, self._settings.metrics_port), pages)
+        try:
+            PageServer(self._reactor, (host, self._settings.metrics_port), pages)
+        except OSError as exc:
+            # The same pages are on the readiness port.
+            port = self._settings.metrics_port
+            self._log.emit(Event.METRICS_PORT_TAKEN, port=port, error=str(exc))
         self._read_store()
         self._reactor.callLater(LATEST_MEETING_S, self._meet)
         self._reactor.on_signal(signal.SIGTERM, self._stop)
@@ -152,8 +157,8 @@
             self._log.emit(Event.READY if ready else Event.UNREADY)
         return PageAnswer(200 if ready else 503)
 
-    def _own_page(self, page: str) -> PageAnswer:
-        """Show metrics or the whole state; what that takes is imported now."""
+    def _own(self) -> EntryMetrics:
+        """Return what shows metrics and state; what that takes is imported now."""
         if self._metrics is None:
             from ..adapters import entry_metrics  # noqa: PLC0415 (see its module)
 
@@ -178,7 +183,7 @@
                 members=self._member_names,
             )
             self._metrics = entry_metrics.EntryMetrics(self._reactor, sources)
-        return PageAnswer(200, getattr(self._metrics, page)())
+        return self._metrics
 
     def _store_outcomes(self) -> dict[str, int]:
         total: dict[str, int] = {}
--- a/kumquatshift/platform/start.py
+++ b/kumquatshift/platform/start.py
@@ -37,7 +37,11 @@
         return EXIT_UNAVAILABLE
     from .entry import run  # noqa: PLC0415 (the port is open before the import)
 
-    run(settings, settings_path, sock)
+    try:
+        run(settings, settings_path, sock)
+    except OSError as exc:
+        os.write(2, f"{settings.readiness}: it can not be opened: {exc}\n".encode())
+        return EXIT_UNAVAILABLE
     return 0
 
 
