--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -47,6 +47,10 @@
             """Take in one change."""
             ...
 
+        def note_loss(self, now: float) -> None:
+            """Note that the store was out of reach for those who read it."""
+            ...
+
 
 # Changes that come in a burst, such as a rolling release, cost one call for all
 # that happen within this time. It is well below the bounds on reacting.
@@ -237,6 +241,9 @@
         """Take in what another entry knows."""
         if news.tick.revision < self._known:
             return
+        if now - self.confirmed_at > self._pace.fresh_s:
+            # The readers had lost the store too, and tell now what it lists.
+            self._target.note_loss(now)
         if news.is_whole:
             self._take_items(news.items, news.tick.changed, now)
         else:
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -268,6 +268,9 @@
         self._taker.take_change(change, now)
         self._tell()
 
+    def note_loss(self, now: float) -> None:
+        self._taker.note_loss(now)
+
 
 def run(settings: DirectSettings, settings_path: str, sock: socket.socket) -> None:
     """Run an entry on the socket that its packets come to, until it is stopped."""
--- a/kumquatshift/platform/takers.py
+++ b/kumquatshift/platform/takers.py
@@ -40,6 +40,9 @@
         if not change.is_deleted:
             self._take(change.item)
 
+    def note_loss(self, now: float) -> None:
+        """Pass over it: what was in force stays."""
+
     def _take(self, item: Item) -> None:
         if item.name != objects.CONFIGURATION_NAME:
             return
@@ -73,6 +76,10 @@
         else:
             self._site.put_target(report, now)
 
+    def note_loss(self, now: float) -> None:
+        """Give living targets time to be listed again."""
+        self._site.note_relisting(now)
+
     def _report(self, item: Item) -> Report | None:
         try:
             return objects.report_from(item.name, item.value)
@@ -97,3 +104,6 @@
             self._site.take_back(change.item.name)
         else:
             self._site.evacuate(change.item.name)
+
+    def note_loss(self, now: float) -> None:
+        """Pass over it: what was in force stays."""
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -83,3 +83,9 @@
       | trouble   | calls |
       | refuses   | 250   |
       | is silent | 250   |
+
+  Scenario: Followers learn that their readers had lost the store
+    Given a domain of 12 entries that has run for 8 s
+    When objects go and come while the store is silent for 6 s
+    Then within 4 s every entry knows what the store has
+    And every entry was told of the loss before it took a change
--- a/tests/features/steps/direct_news_steps.py
+++ b/tests/features/steps/direct_news_steps.py
@@ -196,3 +196,9 @@
     made = sum(len(node.calls) for node in context.news.nodes)
     print(f"{made} calls")
     assert made <= calls, made
+
+
+@then("every entry was told of the loss before it took a change")
+def step_loss_told(context):
+    untold = [n.me.name for n in context.news.nodes if not n.known.losses]
+    assert not untold, untold
--- a/tests/support/news_domain.py
+++ b/tests/support/news_domain.py
@@ -41,8 +41,10 @@
         self.node = node
         self.values = {}
         self.reverted = False
+        self.losses = 0
 
     def take_list(self, items, after_loss, now):
+        self.losses += after_loss
         self.values = {item.name: item.value for item in items}
         self.node.note()
 
@@ -55,6 +57,9 @@
             self.values[name] = value
         self.node.note()
 
+    def note_loss(self, now):
+        self.losses += 1
+
 
 class Node:
     """One entry: its feed, and the driver that makes its calls."""
