--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -232,6 +232,8 @@
         moved = known and _is_after(packet.ack, flow.acked)
         if first or moved or (known and not packet.size and not packet.is_last):
             self.suspicion.note_progress(flow, now)
+            if first or (moved and flow.waiting):
+                self.suspicion.note_delivery(flow.asked_at)
             if flow.waiting:
                 flow.waiting = False
                 flow.target.waiting -= 1
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -79,6 +79,7 @@
         self._targets = targets
         self._events = events
         self._answered_at = float("-inf")
+        self._delivered_at = float("-inf")
         self._objections: dict[LiveTarget, float] = {}
 
     def note_progress(self, flow: Flow, now: float) -> None:
@@ -90,6 +91,14 @@
         self._answered_at = now
         self._trust(flow.target, now)
 
+    def note_delivery(self, sent_at: float) -> None:
+        """Note that what was sent to some target at ``sent_at`` was answered.
+
+        It proves that packets of that time have left this entry's own link, on
+        which they wait their turn while a large transfer fills it.
+        """
+        self._delivered_at = max(self._delivered_at, sent_at)
+
     def note_repeat(self, flow: Flow, now: float) -> None:
         """Note that a caller has sent a packet again, since nothing answered."""
         if now - flow.sent_at < MIN_REPEAT_GAP_S:
@@ -116,8 +125,8 @@
         """
         if not target.suspected or now - target.suspected_at < OBJECTION_S:
             return False
-        if self._answered_at < target.silent_since + SILENCE_S:
-            # No target has answered since: the trouble is our own.
+        if not self._works_since(target.silent_since):
+            # The trouble may be our own.
             return False
         if not target.complaints and len(target.others_complaints) < 2:
             # One other entry alone may be in trouble of its own.
@@ -135,7 +144,7 @@
             for t in self._targets
             if t.suspected
             and t.complaints
-            and self._answered_at >= t.silent_since + SILENCE_S
+            and self._works_since(t.silent_since)
         )
 
     def objections(self, now: float) -> tuple[Answering, ...]:
@@ -173,6 +182,10 @@
         if answered_at > target.silent_since:
             self._trust(target, max(answered_at, target.progress_at))
 
+    def _works_since(self, silent_since: float) -> bool:
+        """Tell whether other targets got and answered what was sent later."""
+        return self._delivered_at >= silent_since + SILENCE_S
+
     def _forget_own_trouble(self) -> None:
         """Drop what was held against targets while none of them answered.
 
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -62,6 +62,22 @@
     And the same callers send 100 requests a second for 4 s
     Then no entry resets a flow
 
+  Scenario Outline: An entry whose packets queue at its own link gives up no flow
+    Given a direct site of entries in a, a with <targets> targets in a and 0 in b
+    When 40 callers send <per_s> requests a second for 2 s
+    And the link of the first entry fills in 1 s until packets wait for <wait> s
+    And the same callers send <per_s> requests a second for 5 s
+    Then no entry resets a flow
+
+    Examples: a link that a large transfer fills
+      | targets | per_s | wait |
+      | 4       | 100   | 0.5  |
+      | 4       | 100   | 0.7  |
+      | 12      | 40    | 0.7  |
+      | 12      | 40    | 1.0  |
+      | 24      | 30    | 0.8  |
+      | 24      | 60    | 1.2  |
+
   Scenario Outline: What one other entry alone says ends no flow
     Given a direct site of entries in a with 4 targets in a and 0 in b
     When 20 callers send 40 requests a second for 1 s
--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -138,6 +138,24 @@
     sock._send = later
 
 
+@when("the link of the first entry fills in {fill:g} s until packets wait for {wait:g} s")
+def step_queue(context, fill, wait):
+    site = context.direct
+    sock = site.entries[0].port._sock
+    send, start = sock._send, site.clock.seconds()
+    last_at = 0.0
+
+    def queue(data, place):
+        nonlocal last_at
+        now = site.clock.seconds()
+        full = min(1.0, (now - start) / fill) if now - start < fill + 1.0 else 0.0
+        # Packets stay in order, also while the link empties.
+        last_at = max(last_at, now + full * wait)
+        site.clock.callLater(last_at - now, send, data, place)
+
+    sock._send = queue
+
+
 @given("its entries tell each other of their suspicions")
 def step_share(context):
     site = context.direct
