--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -142,9 +142,7 @@
         return tuple(
             Suspect(t.name, t.incarnation, t.complaints, round(now - t.progress_at, 3))
             for t in self._targets
-            if t.suspected
-            and t.complaints
-            and self._works_since(t.silent_since)
+            if t.suspected and t.complaints and self._works_since(t.silent_since)
         )
 
     def objections(self, now: float) -> tuple[Answering, ...]:
