--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -86,6 +86,7 @@
     ) -> None:
         """Let feeds, and those who make their calls, learn from the others."""
         self._feeds = feeds
+        self._codec = NewsCodec()
         for kind, feed in feeds.items():
             feed.follow(self._members, News(kind, pace.fresh_s, self._members))
         for reader in readers:
@@ -182,4 +183,4 @@
         news = feed and feed.news_since(since, self._reactor.seconds())
         if news is None:
             return PageAnswer(503)
-        return PageAnswer(200, self._codec.encode(news))
+        return PageAnswer(200, self._codec.encode(news, since))
--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import zlib
 from collections.abc import Callable
 
 from ..direct.calls import Change, Item, NewsAnswer, Tick
@@ -15,6 +16,12 @@
 RECEIVE_BYTES = 65_536
 BATCH_DATAGRAMS = 64
 
+# Answers kept for the next follower: one or two for each kind.
+KEPT_ANSWERS = 6
+
+# All targets and the largest configuration that the store keeps.
+MAX_NEWS_BYTES = 16 * 1024 * 1024
+
 
 class UnreadableNewsError(ValueError):
     """Another entry sent what can not be read."""
@@ -91,7 +98,16 @@
 
 
 class NewsCodec:
-    """Questions for news and their answers, as entries write them."""
+    """Questions for news and their answers, as entries write them.
+
+    An answer is its tick as a line of JSON, and the rest deflated. All followers
+    of a reader ask for the same at once; it is written and deflated for the
+    first of them, since a big configuration would fill the link of a small
+    machine for seconds otherwise.
+    """
+
+    def __init__(self):
+        self._written: dict[tuple, bytes] = {}
 
     def path(self, kind: str, since: int) -> str:
         """Return the path on which an entry is asked for its news."""
@@ -102,24 +118,42 @@
         kind, _, since = query.decode().partition("&")
         return kind, int(since)
 
-    def encode(self, news: NewsAnswer) -> bytes:
-        """Encode an answer."""
-        return json.dumps(news).encode()
+    def encode(self, news: NewsAnswer, since: int) -> bytes:
+        """Encode an answer to who knows what there was up to ``since``."""
+        tick = news.tick
+        key = tick.kind, news.is_whole, since, tick.since, tick.changed
+        body = self._written.get(key)
+        if body is None:
+            text = json.dumps(news[:3]).encode()
+            body = zlib.compress(text, level=zlib.Z_BEST_SPEED)
+            if len(self._written) >= KEPT_ANSWERS:
+                del self._written[next(iter(self._written))]
+            self._written[key] = body
+        return json.dumps(tick).encode() + b"\n" + body
 
     def decode(self, body: bytes) -> NewsAnswer:
         """Decode an answer; raises `UnreadableNewsError`."""
         try:
-            is_whole, items, changes, tick = json.loads(body)
+            tick, _, rest = body.partition(b"\n")
+            is_whole, items, changes = json.loads(_inflated(rest))
             return NewsAnswer(
                 bool(is_whole),
                 tuple(_item(each) for each in items),
                 tuple(Change(_item(item), bool(gone)) for item, gone in changes),
-                _tick(tick),
+                _tick(json.loads(tick)),
             )
-        except (ValueError, TypeError, IndexError) as exc:
+        except (ValueError, TypeError, IndexError, zlib.error) as exc:
             raise UnreadableNewsError(f"news: {exc!r}") from exc
 
 
+def _inflated(data: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    text = stream.decompress(data, MAX_NEWS_BYTES)
+    if not stream.eof:
+        raise ValueError("cut off, or too long")
+    return text
+
+
 def _beat(wire: list) -> Beat:
     name, domain, address, incarnation, leaving, reaches, *lists = wire
     ticks, suspects, objections = lists
