--- a/kumquatshift/adapters/http_call.py
+++ b/kumquatshift/adapters/http_call.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 calls, one at a time on one connection that is kept open.
 
 Every call ends: with an answer, or with the reason why there is none. A
-connection on which an answer did not come in time is not used again.
+connection on which an answer did not come in time is not used again; an answer
+that has begun in time may go on for as long as bytes come.
 """
 
 from __future__ import annotations
@@ -21,6 +22,14 @@
 # A list of the largest objects that the store keeps, several pages over.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+# An answer that has begun and brings nothing for this long has gone silent: a
+# sender's second retransmission comes 0.6 s after the first packet.
+STALL_S = 0.8
+
+# The largest answer over the slowest link, 1 MB at 5 Mbit/s, with two others
+# beside it.
+LONGEST_ANSWER_S = 5.0
+
 
 class Response(NamedTuple):
     """A whole answer."""
@@ -49,6 +58,8 @@
         self._body = bytearray()
         self._on_done: Callable[[Response | CallFailure], None] | None = None
         self._timeout = None
+        self._heard_at: float | None = None
+        self._latest_end = 0.0
 
     def call(
         self,
@@ -61,6 +72,8 @@
         """Make a call; ``on_done`` gets a `Response` or a `CallFailure`."""
         self._on_done = on_done
         self._timeout = self._reactor.callLater(timeout_s, self._time_out)
+        self._heard_at = None
+        self._latest_end = self._reactor.seconds() + timeout_s + LONGEST_ANSWER_S
         host, port = self.address
         head = f"{method} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         if body:
@@ -116,6 +129,7 @@
         if self._on_done is None:
             self._drop()  # Bytes that nobody asked for.
             return
+        self._heard_at = self._reactor.seconds()
         try:
             self._parser.feed_data(data)
         except Exception as exc:  # The parser's errors have no base of their own.
@@ -155,6 +169,12 @@
         return ""
 
     def _time_out(self) -> None:
+        now = self._reactor.seconds()
+        if self._heard_at is not None:
+            due = min(self._heard_at + STALL_S, self._latest_end)
+            if due > now:
+                self._timeout = self._reactor.callLater(due - now, self._time_out)
+                return
         self._fail(Failure.TIMEOUT, "no answer in time")
 
     def _fail(self, failure: str, detail: str) -> None:
--- a/kumquatshift/standins/metadata_store.py
+++ b/kumquatshift/standins/metadata_store.py
@@ -14,13 +14,17 @@
 LONGEST_WAIT_MS = 30_000
 PAGE_ITEMS = 50
 
+# An answer over a slow link comes in so many pieces.
+PIECES = 8
+
 
 @dataclass
 class StoreFaults:
     """What goes wrong at present.
 
     ``refuse`` is the status given in place of an answer, 0 for none. ``silent``
-    takes calls and never answers; ``reset`` cuts the connection at once.
+    takes calls and never answers; ``reset`` cuts the connection at once. An
+    answer begins after ``latency_s`` and comes in pieces over ``sending_s``.
     ``cut_answers`` of the next answers are broken off midway, ``garble_answers``
     are no JSON. ``only`` limits all of them to callers at these addresses.
     """
@@ -29,6 +33,7 @@
     silent: bool = False
     reset: bool = False
     latency_s: float = 0.0
+    sending_s: float = 0.0
     cut_answers: int = 0
     garble_answers: int = 0
     only: frozenset[str] = frozenset()
@@ -192,9 +197,23 @@
             body = body[: len(body) // 2]
         request.setHeader("content-type", "application/json")
         request.setHeader("content-length", str(len(body)))
+        if self.faults.sending_s:
+            self._send_pieces(request, body)
+            return
         request.write(body)
         request.finish()
 
+    def _send_pieces(self, request, body):
+        size = -(-len(body) // PIECES)
+        gap_s = self.faults.sending_s / PIECES
+        later = self._reactor.callLater
+        calls = [
+            later(n * gap_s, request.write, body[n * size : (n + 1) * size])
+            for n in range(PIECES)
+        ]
+        calls.append(later(PIECES * gap_s, request.finish))
+        request.notifyFinish().addErrback(lambda _: _cancel(calls))
+
     def send(self, request, value):
         """Answer a call."""
         self._send(request, value)
@@ -236,6 +255,12 @@
         self.api.send(self.request, value)
 
 
+def _cancel(calls):
+    for call in calls:
+        if call.active():
+            call.cancel()
+
+
 def serve(reactor, address: str, port: int) -> tuple[StoreApi, object]:
     """Serve an empty store; return its face and the listening port."""
     api = StoreApi(reactor)
--- a/tests/features/platform_store.feature
+++ b/tests/features/platform_store.feature
@@ -46,3 +46,12 @@
       | answers 503        | 24    |
       | answers 429        | 9     |
       | resets connections | 24    |
+
+  Scenario Outline: A long answer over a slow link is not given up, a silent one is
+    When a site reads the store, which <trouble> from the start
+    Then it <fate> the store within 4 s
+
+    Examples:
+      | trouble                              | fate           |
+      | takes 1.2 s to send each answer      | never loses    |
+      | takes 12 s to send each answer       | loses          |
--- a/tests/features/steps/platform_store_steps.py
+++ b/tests/features/steps/platform_store_steps.py
@@ -4,6 +4,7 @@
 from twisted.internet import reactor
 
 from kumquatshift.direct.calls import Change, Changes, Item, Page
+from kumquatshift.direct.events import Event
 from kumquatshift.direct.feed import Feed, Pace
 from kumquatshift.direct.placement import Placement
 from kumquatshift.direct.site import Site
@@ -26,6 +27,8 @@
     "resets connections": StoreFaults(reset=True),
     "never answers": StoreFaults(silent=True),
     "takes 0.5 s for each answer": StoreFaults(latency_s=0.5),
+    "takes 1.2 s to send each answer": StoreFaults(sending_s=1.2),
+    "takes 12 s to send each answer": StoreFaults(sending_s=12.0),
     "breaks off its answers": StoreFaults(cut_answers=4),
     "answers with half of its JSON": StoreFaults(garble_answers=4),
 }
@@ -190,3 +193,13 @@
     time.sleep(seconds)
     made = in_reactor(lambda: len(context.api.calls))
     assert 0 < made <= calls, made
+
+
+@then("it {fate} the store within {limit:g} s")
+def step_loses(context, fate, limit):
+    if fate == "loses":
+        wait_for(lambda: context.events.count(Event.STORE_LOST) > 0, limit)
+        return
+    wait_for(lambda: context.site.is_known, limit)
+    wait_for(lambda: len(context.site.targets) == 120, limit)
+    assert not context.events.count(Event.STORE_LOST)
