--- a/kumquatshift/adapters/http_pages.py
+++ b/kumquatshift/adapters/http_pages.py
@@ -20,7 +20,15 @@
 # has been forgotten by its other end.
 IDLE_S = 30.0
 
-STATUS_TEXTS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+# Too Many Requests (RFC 6585): the same may be asked again soon.
+BUSY_STATUS = 429
+
+STATUS_TEXTS = {
+    200: "OK",
+    404: "Not Found",
+    BUSY_STATUS: "Too Many Requests",
+    503: "Service Unavailable",
+}
 
 
 class PageAnswer(NamedTuple):
--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -16,10 +16,10 @@
     Member,
     Members,
 )
-from ..direct.news import News
+from ..direct.news import Handout, News
 from ..direct.suspicion import Suspicion
 from ..direct.warmup import UNSETTLED_ENTRIES, Warmup
-from .http_pages import PageAnswer, PageServer
+from .http_pages import BUSY_STATUS, PageAnswer, PageServer
 from .peers import NEWS_PATH, NewsCodec, PeerPort
 
 # All entries that start together have heard each other after this time.
@@ -54,6 +54,7 @@
         feeds: dict[str, Feed],
         warmup: Warmup,
         lifecycle: Lifecycle,
+        handout: Handout,
     ):
         self._wake: list[Callable[[], None]] = []
         self._codec = NewsCodec()
@@ -64,6 +65,7 @@
         self._feeds = feeds
         self._warmup = warmup
         self._lifecycle = lifecycle
+        self._handout = handout
         self._incarnation = time.time_ns()
         self._told: tuple = ()
         self._beat = None
@@ -179,8 +181,12 @@
             kind, since = self._codec.asked_for(query)
         except ValueError:
             return PageAnswer(404)
+        now = self._reactor.seconds()
         feed = self._feeds.get(kind)
-        news = feed and feed.news_since(since, self._reactor.seconds())
+        news = feed and feed.news_since(since, now)
         if news is None:
             return PageAnswer(503)
-        return PageAnswer(200, self._codec.encode(news, since))
+        body = self._codec.encode(news, since)
+        if not self._handout.admits(len(body), now):
+            return PageAnswer(BUSY_STATUS)
+        return PageAnswer(200, body)
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -91,6 +91,12 @@
 # Another entry of the domain answers within milliseconds.
 NEWS_TIMEOUT_S = 0.5
 
+# Another entry that has given its link's share to others is asked again after
+# this time, or one that has got the news meanwhile is; with twice as many that
+# have it in each round, a domain of a hundred has it within two seconds.
+BUSY_RETRY_S = 0.15
+BUSY_GIVE_UP_S = 2.0
+
 # A store that has refused an entry is asked again after this time, if others
 # of the domain reach it.
 TRY_AGAIN_S = 10.0
@@ -160,6 +166,8 @@
         self._failed_at = 0.0
         self._is_watching = False
         self._news_failed_at = -1.0
+        self._busy_tries = 0
+        self._busy_since = 0.0
 
     def follow(self, members: Members, news: News) -> None:
         """Learn from other entries too."""
@@ -239,6 +247,7 @@
 
     def take_news(self, news: NewsAnswer, now: float) -> None:
         """Take in what another entry knows."""
+        self._busy_tries = 0
         if news.tick.revision < self._known:
             return
         if now - self.confirmed_at > self._pace.fresh_s:
@@ -254,6 +263,17 @@
         if self._revision is not None:
             self._revision = self._known
 
+    def take_news_busy(self, now: float) -> None:
+        """Note that another entry answers others first; it is asked again soon."""
+        if not self._busy_tries:
+            self._busy_since = now
+        elif now - self._busy_since > BUSY_GIVE_UP_S:
+            self._busy_tries = 0
+            self.take_news_failure("busy for long", now)
+            return
+        self._busy_tries += 1
+        self._not_before = now + BUSY_RETRY_S
+
     def take_news_failure(self, detail: str, now: float) -> None:
         """Note that another entry did not answer; the store is read instead."""
         self._news_failed_at = now
@@ -308,7 +328,8 @@
     def _follow(self, source: Source, now: float) -> NewsCall | None:
         tick = source.tick
         if tick.changed > self._known:
-            return self._ask(source, self._known)
+            holder = self._news.holder(source, self._known, self._busy_tries)
+            return self._ask(holder, self._known)
         self._known = max(self._known, tick.revision)
         self.confirmed_at = max(self.confirmed_at, now - tick.age_s)
         self.is_current = True
--- a/kumquatshift/direct/settings.py
+++ b/kumquatshift/direct/settings.py
@@ -13,6 +13,7 @@
 from .warmup import WarmupBounds
 
 MAX_PORT = 65_535
+BYTES_PER_MEGABIT = 125_000
 
 
 class SettingsError(Exception):
@@ -47,6 +48,7 @@
     metrics_port: int
     peers: Address
     seeds: tuple[Address, ...]
+    link_bytes_per_s: float
     store: Address
     bounds: Bounds
 
@@ -76,6 +78,7 @@
             metrics_port=reader.read("entry", "metrics_port", _port),
             peers=reader.read("entry", "peer_address", _address),
             seeds=reader.read("entry", "seeds", _addresses),
+            link_bytes_per_s=reader.read("entry", "link_mbps", _link),
             store=reader.read("store", "address", _address),
             bounds=Bounds(
                 stable_window_s=reader.read("bounds", "stable_window_ms", _seconds),
@@ -134,6 +137,14 @@
     return _number(text) / 1000
 
 
+def _link(text: str) -> float:
+    """Read megabits a second as bytes a second."""
+    number = _number(text)
+    if not number:
+        raise ValueError("a number above 0")
+    return number * BYTES_PER_MEGABIT
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     numbers = host.split(".")
--- a/kumquatshift/platform/meeting.py
+++ b/kumquatshift/platform/meeting.py
@@ -7,6 +7,7 @@
 from ..direct.feed import Feed
 from ..direct.lifecycle import Lifecycle
 from ..direct.members import Member, Members
+from ..direct.news import Handout
 from ..direct.settings import DirectSettings
 from ..direct.suspicion import Suspicion
 from ..direct.warmup import Warmup
@@ -24,6 +25,14 @@
     """Open the port to other entries and begin to speak with them."""
     me = Member(settings.name, settings.domain, settings.peers)
     members = Members(me, settings.seeds, events)
-    neighbours = Neighbours(reactor, members, suspicion, feeds, warmup, lifecycle)
+    neighbours = Neighbours(
+        reactor,
+        members,
+        suspicion,
+        feeds,
+        warmup,
+        lifecycle,
+        Handout(settings.link_bytes_per_s),
+    )
     neighbours.start()
     return neighbours
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -9,6 +9,7 @@
 from collections import deque
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
+from ..adapters.http_pages import BUSY_STATUS
 from ..direct.calls import Failure, ListCall, NewsCall, WatchCall
 from ..direct.feed import Feed
 from .objects import UnreadableError, changes_from, page_from
@@ -94,6 +95,8 @@
         now = self._reactor.seconds()
         if isinstance(answer, CallFailure):
             self._feed.take_news_failure(f"{answer.failure}: {answer.detail}", now)
+        elif answer.status == BUSY_STATUS:
+            self._feed.take_news_busy(now)
         elif answer.status != 200:
             self._feed.take_news_failure(f"status {answer.status}", now)
         else:
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -89,3 +89,20 @@
     When objects go and come while the store is silent for 6 s
     Then within 4 s every entry knows what the store has
     And every entry was told of the loss before it took a change
+
+  Scenario Outline: A big change spreads without filling the link of any entry
+    Given answers of <kb> kB and links of <mbps> Mbit/s
+    And a domain of <count> entries that has run for 8 s
+    And a share of <loss> of the heartbeats is lost
+    When an object changes 0 s later
+    Then every entry that reaches the store knows it within <limit> s
+    And no entry gave more than <answers> long answers within a second
+    And at most 2 entries asked the store for it
+
+    Examples:
+      | kb | mbps | count | loss | limit | answers |
+      | 36 | 5    | 12    | 0    | 1.5   | 5       |
+      | 36 | 5    | 12    | 0.3  | 2.0   | 5       |
+      | 60 | 5    | 16    | 0    | 2.0   | 3       |
+      | 60 | 10   | 40    | 0    | 2.0   | 6       |
+      | 36 | 1000 | 12    | 0    | 1.5   | 12      |
--- a/tests/features/steps/direct_news_steps.py
+++ b/tests/features/steps/direct_news_steps.py
@@ -202,3 +202,23 @@
 def step_loss_told(context):
     untold = [n.me.name for n in context.news.nodes if not n.known.losses]
     assert not untold, untold
+
+
+@given("answers of {kb:d} kB and links of {mbps:d} Mbit/s")
+def step_links(context, kb, mbps):
+    context.news.answer_bytes = kb * 1000
+    context.news.link_bytes_per_s = mbps * 125_000
+
+
+@then("no entry gave more than {count:d} long answers within a second")
+def step_long_answers(context, count):
+    for node in context.news.nodes:
+        times = node.long_answers
+        most = max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
+        assert most <= count, (node.me.name, most)
+
+
+@then("at most {count:d} entries asked the store for it")
+def step_asked_store(context, count):
+    asked = [node.me.name for node in context.news.nodes if node.calls]
+    assert len(asked) <= count, asked
--- a/tests/support/direct_settings.py
+++ b/tests/support/direct_settings.py
@@ -10,6 +10,7 @@
 metrics_port = 7003
 peer_address = {host}:7002
 seeds = {seeds}
+link_mbps = 1000
 
 [store]
 address = {store}
--- a/tests/support/news_domain.py
+++ b/tests/support/news_domain.py
@@ -25,7 +25,7 @@
     Member,
     Members,
 )
-from kumquatshift.direct.news import News
+from kumquatshift.direct.news import Handout, News
 from kumquatshift.standins.metadata_store import MetadataStore
 from tests.support.direct_site import Recorder
 
@@ -80,6 +80,8 @@
         self.turned_away = None
         self.watch = None
         self.calls = []
+        self.long_answers = []
+        self.handout = Handout(domain.link_bytes_per_s)
         self._beat = None
         self._told = None
         self.clock.callLater(0, self._call)
@@ -138,6 +140,10 @@
         if news is None:
             self._finish(self.feed.take_news_failure, "closed")
             return
+        if not peer.handout.admits(self.domain.answer_bytes, now):
+            self._finish(self.feed.take_news_busy)
+            return
+        peer.long_answers.append(now)
         if news.is_whole:
             self.domain.whole_news += 1
         self._finish(self.feed.take_news, news)
@@ -199,6 +205,8 @@
         self.nodes = []
         self.loss = 0.0
         self.trouble = None
+        self.answer_bytes = 300
+        self.link_bytes_per_s = 125e6
         self.news_calls = 0
         self.whole_news = 0
 
