--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -143,6 +143,7 @@
     ) -> Decision:
         self.suspicion.note_repeat(flow, now)
         flow.sent_at = flow.seen_at = now
+        self.suspicion.note_try(flow.target, now)
         if packet.copy < REPLACING_COPY and not flow.target.suspected:
             return Forward(flow.target)
         target = self._pick(packet, route, now)
@@ -187,6 +188,8 @@
             self._tell_reset(packet.flow, flow, reason, now)
             self.flows.remove(packet.flow)
             return Reset(reason)
+        if packet.size:
+            self.suspicion.note_try(flow.target, now)
         flow.sent_at = flow.seen_at = now
         flow.is_closing = flow.is_closing or packet.is_last
         return Forward(flow.target)
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -48,6 +48,9 @@
 # of, the trouble is an entry's own.
 OWN_SILENCE_S = 0.4
 
+# Silences of so many other targets at the same time are no coincidence.
+COINCIDING_TARGETS = 2
+
 # Other entries that hear of a suspicion and know better say so within this time.
 OBJECTION_S = 0.15
 
@@ -115,9 +118,15 @@
             if not target.complaints:
                 target.silent_since = max(flow.stuck_since, target.progress_at)
             target.complaints += 1
+            target.complained_at = now
         if self._is_silent(target, flow, now):
             self._suspect(target, now, flows_stuck=target.complaints)
 
+    def note_try(self, target: LiveTarget, now: float) -> None:
+        """Note that a packet which asks for an answer is sent to a target."""
+        if target.suspected and target.tried_at <= self._others_silent_at(target):
+            target.tried_at = now
+
     def is_dead(self, target: LiveTarget, now: float) -> bool:
         """Tell whether a target has been silent for so long that it is dead.
 
@@ -135,7 +144,7 @@
         if complaints < SUSPECTING_FLOWS:
             return False
         silent_s = now - max(target.progress_at, target.silent_since)
-        return silent_s > DEAD_AFTER_S
+        return silent_s > DEAD_AFTER_S and self._is_tried(target, now)
 
     def suspects(self, now: float) -> tuple[Suspect, ...]:
         """Return the suspicions that rest on what this entry has seen."""
@@ -184,6 +193,24 @@
         """Tell whether other targets got and answered what was sent later."""
         return self._delivered_at >= silent_since + SILENCE_S
 
+    def _is_tried(self, target: LiveTarget, now: float) -> bool:
+        """Tell whether a target has left a packet unanswered that did not get lost.
+
+        A link that a transfer fills loses a part of what is sent, to any target.
+        A silence counts again once something was sent since others had one.
+        """
+        since = self._others_silent_at(target)
+        if since < target.silent_since:
+            return True
+        return target.tried_at > since and now - target.tried_at >= SILENCE_S
+
+    def _others_silent_at(self, target: LiveTarget) -> float:
+        """Return when several others last were complained of, or the only other."""
+        times = sorted(each.complained_at for each in self._targets if each != target)
+        if not times:
+            return float("-inf")
+        return times[-min(COINCIDING_TARGETS, len(times))]
+
     def _forget_own_trouble(self) -> None:
         """Drop what was held against targets while none of them answered.
 
@@ -210,6 +237,7 @@
     def _suspect(self, target: LiveTarget, now: float, **reason: object) -> None:
         target.suspected = True
         target.suspected_at = now
+        target.tried_at = now
         target.next_probe = now + PROBE_EVERY_S
         self._events.emit(
             Event.TARGET_SUSPECTED,
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -38,12 +38,14 @@
 
     ``progress_at`` is when a packet last proved that the target answers;
     ``complaints`` counts flows that have sent again in vain since then, and
-    ``others_complaints`` those that other entries have told of.
+    ``others_complaints`` those that other entries have told of. ``tried_at`` is
+    when a suspected target was last sent something after others had been silent.
     """
 
     __slots__ = (
         "address",
         "cold_until",
+        "complained_at",
         "complaints",
         "cookies",
         "domain",
@@ -63,6 +65,7 @@
         "slots",
         "suspected",
         "suspected_at",
+        "tried_at",
         "unlisted_at",
         "waiting",
     )
@@ -75,11 +78,13 @@
         self.flows = 0
         self.waiting = 0
         self.complaints = 0
+        self.complained_at = float("-inf")
         self.others_complaints: dict[str, int] = {}
         self.progress_at = now
         self.silent_since = now
         self.suspected = False
         self.suspected_at = now
+        self.tried_at = now
         self.last_picked = 0
         self.next_cold_flow = now
         self.next_probe = now
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -78,6 +78,22 @@
       | 24      | 30    | 0.8  |
       | 24      | 60    | 1.2  |
 
+  Scenario Outline: An entry whose link was full for a moment gives up no flow
+    Given a direct site of entries in a, a with <targets> targets in a and 0 in b
+    When 40 callers send <per_s> requests a second for 2 s
+    And a share of <share> of what the first entry sends is lost for <lost> s
+    And the same callers send <per_s> requests a second for 4 s
+    Then no entry resets a flow
+
+    Examples: packets beyond a full queue are lost
+      | targets | per_s | share | lost |
+      | 4       | 100   | 0.8   | 0.8  |
+      | 4       | 200   | 0.7   | 1.5  |
+      | 12      | 100   | 0.8   | 0.8  |
+      | 12      | 200   | 0.7   | 1.5  |
+      | 24      | 200   | 0.8   | 0.8  |
+      | 24      | 200   | 0.7   | 1.5  |
+
   Scenario Outline: What one other entry alone says ends no flow
     Given a direct site of entries in a with 4 targets in a and 0 in b
     When 20 callers send 40 requests a second for 1 s
