--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from ..direct.feed import Feed, Pace
 from ..direct.lifecycle import Lifecycle
@@ -29,7 +30,6 @@
 PROMPT_S = 0.01
 
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Protocol
 
@@ -163,7 +163,6 @@
     def _name(self, asking: Member) -> tuple[Member, ...]:
         """Answer which entries of the asking one's domain are heard."""
         known = (*self._members.domain_members(asking.domain), self._members.me)
-        self._members.hear_of((asking,))
         self._members.note_asking(asking, self._reactor.seconds())
         return tuple(m for m in known if m.domain == asking.domain)
 
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from .calls import (
     Change,
@@ -26,8 +26,8 @@
 )
 from .events import Event
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Protocol
 
     from .events import Events
@@ -140,7 +140,10 @@
 
 
 class Feed:
-    """One kind of object, kept up to date."""
+    """One kind of object, kept up to date.
+
+    ``on_news`` is called after the target has taken in something new.
+    """
 
     def __init__(self, kind: str, pace: Pace, target: FeedTarget, events: Events):
         self.kind = kind
@@ -149,6 +152,7 @@
         self._pace = pace
         self._target = target
         self._events = events
+        self.on_news: Callable[[], None] | None = None
         self._members: Members | None = None
         self._news: News | None = None
         self.is_reader = False
@@ -269,15 +273,17 @@
             self._busy_since = now
         elif now - self._busy_since > BUSY_GIVE_UP_S:
             self._busy_tries = 0
-            self.take_news_failure("busy for long", now)
+            self.take_news_failure(Failure.OVERLOADED, "busy for long", now)
             return
         self._busy_tries += 1
         self._not_before = now + BUSY_RETRY_S
 
-    def take_news_failure(self, detail: str, now: float) -> None:
+    def take_news_failure(self, failure: str, detail: str, now: float) -> None:
         """Note that another entry did not answer; the store is read instead."""
         self._news_failed_at = now
-        self._events.emit(Event.NEWS_FAILED, kind=self.kind, detail=detail)
+        self._events.emit(
+            Event.NEWS_FAILED, kind=self.kind, failure=failure, detail=detail
+        )
 
     def news_since(self, revision: int, now: float) -> NewsAnswer | None:
         """Return what an entry lacks whose knowledge ends at ``revision``."""
@@ -346,11 +352,13 @@
         self._known = revision
         self._note_answer(now)
         self._target.take_list(items, after_loss, now)
+        self._tell_news()
 
     def _take_items(self, items: tuple[Item, ...], changed: int, now: float) -> None:
         """Take in all that another entry knows."""
         self._remember_items(items, changed)
         self._target.take_list(items, self._lost_at is not None, now)
+        self._tell_news()
 
     def _remember_items(self, items: tuple[Item, ...], revision: int) -> None:
         """Keep a whole list; what it changes is remembered as changes."""
@@ -371,6 +379,11 @@
             if self._is_news(change.item):
                 self._remember(change, revision)
                 self._target.take_change(change, now)
+                self._tell_news()
+
+    def _tell_news(self) -> None:
+        if self.on_news is not None:
+            self.on_news()
 
     def _is_news(self, item: Item) -> bool:
         """Pass over changes that were known already, such as from a later page."""
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
@@ -18,7 +18,6 @@
 from .events import Event
 from .suspicion import Answering, Suspect
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from .events import Events
 
@@ -104,7 +103,8 @@
                 self._named[member.name] = member
 
     def note_asking(self, member: Member, now: float) -> None:
-        """Keep where an entry of another domain is, for others of that domain."""
+        """Keep where an entry is, for itself or for others of its domain."""
+        self.hear_of((member,))
         if len(self._asked) < MAX_ASKED or member.name in self._asked:
             self._asked[member.name] = member, now
 
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from .events import Event
 from .placement import Placement
 from .routes import Configuration, RouteTable
 from .targets import LiveTarget, Report, TargetTable
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from .events import Events
 
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from .events import Event
 from .flows import Flow, FlowTable
@@ -18,7 +19,6 @@
 from .suspicion import MIN_REPEAT_GAP_S, Suspicion
 from .targets import LiveTarget, TargetTable
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from .events import Events
 
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -10,13 +10,12 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from .events import Event
 from .flows import Flow
 from .targets import LiveTarget, TargetTable
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from .events import Events
 
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -7,10 +7,10 @@
 import signal
 import socket
 from collections import deque
+from typing import TYPE_CHECKING
 
 from ..adapters.epoll import EpollReactor
 from ..adapters.http_pages import PageAnswer, PageServer
-from ..direct.calls import Change, Item
 from ..direct.events import Event
 from ..direct.feed import Feed, Pace
 from ..direct.lifecycle import Lifecycle
@@ -26,7 +26,6 @@
 from .store import StoreReader
 from .takers import takers
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from ..adapters.entry_metrics import EntryMetrics
     from ..adapters.neighbours import Neighbours
@@ -116,8 +115,8 @@
         shortest_s = min(bounds.drain_s, bounds.config_s, bounds.evacuate_s)
         self._pace = Pace.from_bounds(bounds.stable_window_s, shortest_s)
         for kind, taker in takers(self._site, self._log).items():
-            told = _Told(taker, self._note_news)
-            feed = self._feeds[kind] = Feed(kind, self._pace, told, self._log)
+            feed = self._feeds[kind] = Feed(kind, self._pace, taker, self._log)
+            feed.on_news = self._note_news
             reader = StoreReader(self._reactor, self._settings.store, feed)
             self._readers.append(reader)
             reader.start()
@@ -253,25 +252,6 @@
         self._reactor.callLater(STOP_CHECK_S, self._check_stop)
 
 
-class _Told:
-    """Passes on what a feed brings, and tells that it has."""
-
-    def __init__(self, taker, tell):
-        self._taker = taker
-        self._tell = tell
-
-    def take_list(self, items: tuple[Item, ...], after_loss: bool, now: float) -> None:
-        self._taker.take_list(items, after_loss, now)
-        self._tell()
-
-    def take_change(self, change: Change, now: float) -> None:
-        self._taker.take_change(change, now)
-        self._tell()
-
-    def note_loss(self, now: float) -> None:
-        self._taker.note_loss(now)
-
-
 def run(settings: DirectSettings, settings_path: str, sock: socket.socket) -> None:
     """Run an entry on the socket that its packets come to, until it is stopped."""
     reactor = EpollReactor()
--- a/kumquatshift/platform/port.py
+++ b/kumquatshift/platform/port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from typing import TYPE_CHECKING
 
 from ..adapters.epoll import Descriptor
 from ..direct.events import Event
@@ -10,7 +11,6 @@
 from ..direct.steering import Steering
 from .packets import MAX_DATA_BYTES, caller_host, decode, forwarded, reset
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from ..direct.events import Events
 
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -7,17 +7,22 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from ..adapters.http_call import CallFailure, HttpCaller, Response
 from ..adapters.http_pages import BUSY_STATUS
 from ..direct.calls import Failure, ListCall, NewsCall, WatchCall
 from ..direct.feed import Feed
-from .objects import UnreadableError, changes_from, page_from
+from .objects import changes_from, page_from
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import TypeVar
+
     from ..adapters.peers import NewsCodec
 
+    Decoded = TypeVar("Decoded")
+
 # While others' news is followed: how often the feed is asked for its next call,
 # beside the times at which news comes.
 FOLLOWING_S = 0.25
@@ -92,42 +97,48 @@
         self._peer.call("GET", path, b"", call.timeout_s, self._told)
 
     def _told(self, answer: Response | CallFailure) -> None:
-        now = self._reactor.seconds()
-        if isinstance(answer, CallFailure):
-            self._feed.take_news_failure(f"{answer.failure}: {answer.detail}", now)
-        elif answer.status == BUSY_STATUS:
-            self._feed.take_news_busy(now)
-        elif answer.status != 200:
-            self._feed.take_news_failure(f"status {answer.status}", now)
-        else:
-            try:
-                self._feed.take_news(self.codec.decode(answer.body), now)
-            except ValueError as exc:
-                self._feed.take_news_failure(str(exc), now)
-        if not self._is_stopped:
-            self.start()
+        if isinstance(answer, Response) and answer.status == BUSY_STATUS:
+            self._feed.take_news_busy(self._reactor.seconds())
+            self._go_on()
+            return
+        feed = self._feed
+        self._take(answer, self.codec.decode, feed.take_news, feed.take_news_failure)
 
     def _listed(self, answer: Response | CallFailure) -> None:
-        self._take(answer, page_from, self._feed.take_page)
+        self._count(answer)
+        self.call_times.append(self._reactor.seconds() - self._called_at)
+        feed = self._feed
+        self._take(answer, page_from, feed.take_page, feed.take_failure)
 
     def _watched(self, answer: Response | CallFailure) -> None:
-        self._take(answer, changes_from, self._feed.take_changes)
-
-    def _take(self, answer, decode, take) -> None:
-        now = self._reactor.seconds()
         self._count(answer)
-        if decode is page_from:
-            self.call_times.append(now - self._called_at)
+        feed = self._feed
+        self._take(answer, changes_from, feed.take_changes, feed.take_failure)
+
+    def _take(
+        self,
+        answer: Response | CallFailure,
+        decode: Callable[[bytes], Decoded],
+        take: Callable[[Decoded, float], None],
+        fail: Callable[[str, str, float], None],
+    ) -> None:
+        """Hand an answer over, or tell why there is none that can be read."""
+        now = self._reactor.seconds()
         if isinstance(answer, CallFailure):
-            self._feed.take_failure(answer.failure, answer.detail, now)
+            fail(answer.failure, answer.detail, now)
         elif answer.status != 200:
             failure = FAILURES.get(answer.status, Failure.UNAVAILABLE)
-            self._feed.take_failure(failure, f"status {answer.status}", now)
+            fail(failure, f"status {answer.status}", now)
         else:
             try:
-                take(decode(answer.body), now)
-            except UnreadableError as exc:
-                self._feed.take_failure(Failure.UNREADABLE, str(exc), now)
+                decoded = decode(answer.body)
+            except ValueError as exc:
+                fail(Failure.UNREADABLE, str(exc), now)
+            else:
+                take(decoded, now)
+        self._go_on()
+
+    def _go_on(self) -> None:
         if not self._is_stopped:
             self.start()
 
--- a/kumquatshift/platform/takers.py
+++ b/kumquatshift/platform/takers.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from ..direct.calls import Change, Item
 from ..direct.events import Event
 from ..direct.site import Site
 from ..direct.targets import Report
 from . import objects
 
-TYPE_CHECKING = False
 if TYPE_CHECKING:
     from ..direct.events import Events
     from ..direct.feed import FeedTarget
