--- a/kumquatshift/standins/direct_flows.py
+++ b/kumquatshift/standins/direct_flows.py
@@ -86,7 +86,11 @@
 
 
 class FlowTarget:
-    """One start of a target; ``send`` gives a packet to the caller."""
+    """One start of a target; ``send`` gives a packet to the caller.
+
+    It answers nothing while ``is_dark``, and works on each ``mute_every``-th
+    request without ever answering it.
+    """
 
     def __init__(self, clock, key: bytes, send: Callable[[bytes], None], work_s=0.02):
         self.clock = clock
@@ -96,6 +100,7 @@
         self.slots = 2
         self.queue = 8
         self.is_dark = False
+        self.mute_every = 0
         self.openings: list[float] = []
         self.runs: list[bytes] = []
         self.strays = 0
@@ -144,6 +149,8 @@
 
     def _answer(self, head, held, data):
         self.runs.append(data[:16])
+        if self.mute_every and len(self.runs) % self.mute_every == 0:
+            return
         self._reply(head, held, data[:16].ljust(ANSWER_BYTES, b"."))
 
     def _reply(self, head, held, body):
--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -50,6 +50,7 @@
 @when("the first target takes {times:g} times as long")
 def step_slow(context, times):
     context.direct.target("a0").work_s *= times
+    context.before = len(context.results)
 
 
 @when("nothing else happens")
@@ -60,6 +61,7 @@
 @when("both entries pause for {seconds:g} s")
 def step_pause(context, seconds):
     site = context.direct
+    context.before = len(context.results)
     for entry in site.entries:
         held = []
         handle = entry.port.handle
--- /dev/null
+++ b/tests/features/steps/direct_troubles_steps.py
@@ -0,0 +1,124 @@
+from behave import given, then, when
+
+from kumquatshift.direct.events import Event
+from kumquatshift.direct.routes import Configuration, Route, ServiceLimits, Share
+from kumquatshift.platform.packets import place_of
+from kumquatshift.standins.direct_flows import Outcome
+from tests.support.direct_site import PLACE, SERVICE, STEP_S
+
+SECOND_SERVICE = "reports"
+SECOND_PLACE = ("198.18.0.2", 443)
+
+
+@when("the first target leaves each {every:d}nd unanswered")
+@when("the first target leaves each {every:d}th unanswered")
+def step_mute(context, every):
+    context.direct.target("a0").mute_every = every
+    context.before = len(context.results)
+
+
+@when("the first target is down for {seconds:g} s")
+def step_down(context, seconds):
+    target = context.direct.target("a0")
+    target.is_dark = True
+    context.direct.clock.callLater(seconds, setattr, target, "is_dark", False)
+    context.before = len(context.results)
+
+
+@when("the first target is down and up, each {turn:g} s")
+def step_flap(context, turn):
+    site = context.direct
+    target = site.target("a0")
+    context.before = len(context.results)
+
+    def flap():
+        target.is_dark = not target.is_dark
+        if target.is_dark:
+            # It has crashed, and holds nothing of before when it is back.
+            target._flows.clear()
+        site.clock.callLater(turn, flap)
+
+    flap()
+
+
+@then("only flows of the first target are reset")
+def step_only_first(context):
+    reset = {
+        inputs["target"]
+        for entry in context.direct.entries
+        for event, inputs in entry.events.lines
+        if event is Event.FLOW_RESET
+    }
+    assert reset <= {"a0"}, reset
+
+
+@when("{count:d} callers come, each with one request, {per_s:g} a second")
+def step_new_callers(context, count, per_s):
+    site = context.direct
+    opened = {t: len(t.openings) for t in site.targets.values()}
+    for number in range(count):
+        site.add_caller().ask(f"new-{number}".encode())
+        for _ in range(round(1 / per_s / STEP_S)):
+            # The callers of before go on.
+            site.clock.advance(STEP_S)
+        busy = context.callers[number % len(context.callers)]
+        if all(r.outcome is not None for r in busy.requests[-1:]):
+            busy.ask(f"on-{number}".encode())
+    site.run(3.0, STEP_S)
+    context.new = {t: len(t.openings) - opened[t] for t in site.targets.values()}
+
+
+@then("the first target gets at most {share:g} of an equal share of these")
+def step_less(context, share):
+    equal = sum(context.new.values()) / len(context.new)
+    got = context.new[context.direct.target("a0")]
+    print(f"{got} flows, {equal:.1f} on average")
+    assert got <= share * equal, (got, equal)
+
+
+@given("a second service with {count:d} targets of its own")
+def step_second(context, count):
+    site = context.direct
+    routes = (
+        Route("r0", place_of(*PLACE), (Share(SERVICE, 1),)),
+        Route("r1", place_of(*SECOND_PLACE), (Share(SECOND_SERVICE, 1),)),
+    )
+    limits = tuple(ServiceLimits(each, 0.0, 2000) for each in (SERVICE, SECOND_SERVICE))
+    site.cfg = Configuration(2, routes, 15.0, limits)
+    for entry in site.entries:
+        entry.site.put_configuration(site.cfg, "test")
+    for number in range(count):
+        site.add_target(f"second{number}", "a", service=SECOND_SERVICE)
+
+
+@when(
+    "callers send {first:g} a second to the first service and {second:g} to the second"
+)
+def step_two_loads(context, first, second):
+    site = context.direct
+    loads = []
+    for place, per_s in ((PLACE, first), (SECOND_PLACE, second)):
+        callers = [site.add_caller(place=place) for _ in range(int(per_s / 4))]
+        loads.append((per_s, callers))
+    steps = round(3.0 / STEP_S)
+    sent = [0, 0]
+    for step in range(steps):
+        for number, (per_s, callers) in enumerate(loads):
+            while sent[number] < per_s * step * STEP_S:
+                caller = callers[sent[number] % len(callers)]
+                sent[number] += 1
+                if all(r.outcome is not None for r in caller.requests[-1:]):
+                    caller.ask(f"n{sent[number]}".encode())
+        site.run(STEP_S, 0.001)
+    site.run(2.5, STEP_S)
+    context.light = min(loads, key=lambda load: load[0])[1]
+
+
+@then("those of the service with less load are answered, the slowest after {limit:g} s")
+def step_light(context, limit):
+    requests = [r for caller in context.light for r in caller.requests]
+    bad = [r for r in requests if r.outcome is not Outcome.ANSWERED]
+    assert requests and not bad, bad[:3]
+    slowest = max(r.took_s for r in requests)
+    print(f"{len(requests)} answered, slowest {slowest:.3f} s")
+    assert slowest <= limit, slowest
