--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -140,6 +140,51 @@
     return mend
 
 
+def _some(site: SoakSite):
+    """Draw from one entry to all of them."""
+    return site.rng.sample(site.entries, site.rng.randint(1, len(site.entries)))
+
+
+def hush_connections(site: SoakSite) -> Callable[[], None]:
+    """Let open connections to the store go silent for good; new ones work."""
+    for entry in _some(site):
+        entry.proxy.hush()
+        entry.disturbed_at = site.now()
+    return lambda: None
+
+
+def reset_connections(site: SoakSite) -> Callable[[], None]:
+    """Reset open connections to the store."""
+    for entry in _some(site):
+        entry.proxy.reset()
+        entry.disturbed_at = site.now()
+    return lambda: None
+
+
+def delay_connections(site: SoakSite) -> Callable[[], None]:
+    """Delay what entries and the store send each other, by up to 0.3 s a way."""
+    return _hold(site, "delay_s", site.rng.uniform(0.05, 0.3), 0.0)
+
+
+def cut_store_one_way(site: SoakSite) -> Callable[[], None]:
+    """Let the store hear entries, and not be heard by them."""
+    return _hold(site, "cut_back", True, False)
+
+
+def _hold(site: SoakSite, name: str, value, healed) -> Callable[[], None]:
+    entries = _some(site)
+    for entry in entries:
+        setattr(entry.proxy, name, value)
+        entry.disturbed_at = float("inf")
+
+    def heal():
+        for entry in entries:
+            setattr(entry.proxy, name, healed)
+            entry.disturbed_at = site.now()
+
+    return heal
+
+
 def forget_history(site: SoakSite) -> Callable[[], None]:
     """Let the store forget its history, and cut its watches."""
     site.api.compact()
@@ -171,6 +216,10 @@
     delay_packets,
     cut_domain,
     trouble_store,
+    hush_connections,
+    reset_connections,
+    delay_connections,
+    cut_store_one_way,
     forget_history,
     change_configuration,
     evacuate,
