--- /dev/null
+++ b/kumquatshift/platform/journal.py
@@ -0,0 +1,131 @@
+"""The journal of the users' bench and its site files, decoded for reports."""
+
+import json
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+STANDARD_SLOTS = ("quiet", "trouble", "scale")
+
+#: The bench's names of the final faults that end every entry at once.
+RESTARTS = ("power_off_all", "kill_all")
+
+
+@dataclass(frozen=True)
+class Price:
+    """One price of a day: ``cost`` was taken off its worth."""
+
+    name: str
+    cost: float
+
+
+@dataclass(frozen=True)
+class DayResult:
+    """How one day of one run went."""
+
+    name: str
+    worth: float
+    broken: tuple[str, ...]
+    prices: tuple[Price, ...]
+
+    @classmethod
+    def from_entry(cls, entry: dict) -> "DayResult":
+        """Decode a day of a journal entry."""
+        return cls(
+            name=entry["name"],
+            worth=float(entry["G"]),  # After prices, before the bench's marks.
+            broken=tuple(sorted(entry["rules"] or ())),
+            prices=tuple(Price(name, cost) for name, _, cost in entry["prices"]),
+        )
+
+
+@dataclass(frozen=True)
+class Score:
+    """One play of a site's standard days."""
+
+    at: str
+    commit: str
+    site: str
+    why: str
+    days: tuple[DayResult, ...]
+
+    @classmethod
+    def from_entry(cls, entry: dict) -> "Score":
+        """Decode a journal entry."""
+        days = [DayResult.from_entry(d) for d in entry["days"] if _is_standard(d)]
+        return cls(
+            at=str(entry["at"][0]),
+            commit=entry["head"][:7],
+            site=entry["site"],
+            why=entry["why"] or "",
+            days=tuple(days),
+        )
+
+
+@dataclass(frozen=True)
+class Demand:
+    """One kind of request, as far as an outage matters to it; times in seconds."""
+
+    share: float
+    aim_s: float
+    deadline_s: float
+    late_credit: float
+    opens_flow: bool
+
+
+@dataclass(frozen=True)
+class SiteDay:
+    """A standard day: how long all entries are down at its end, 0 for not at all."""
+
+    name: str
+    length_s: float
+    down_s: float
+
+
+def scores_in(folder: Path) -> list[Score]:
+    """Return all plays of standard days in a journal, the oldest first."""
+    found = []
+    for path in sorted(folder.glob("*.json")):
+        entry = json.loads(path.read_text(encoding="utf-8"))
+        if entry.get("cmd") == "score" and entry.get("days") and entry.get("site"):
+            found.append(Score.from_entry(entry))
+    return found
+
+
+def site_days(path: Path) -> tuple[tuple[SiteDay, ...], tuple[Demand, ...]]:
+    """Read a site file's standard days and its kinds of requests."""
+    site = tomllib.loads(path.read_text(encoding="utf-8"))
+    days = []
+    for day in site["day"]:
+        closing = day.get("closing") or {}
+        restarts = closing.get("kind") in RESTARTS
+        length_s = float(day.get("length_s", site["length_s"]))
+        down_s = float(closing.get("down_s", 0.0)) if restarts else 0.0
+        days.append(SiteDay(day["name"], length_s, down_s))
+    return tuple(days), _demands(site)
+
+
+def _demands(site: dict) -> tuple[Demand, ...]:
+    counts: dict[str, float] = {}
+    for place in site["traffic"]:
+        total = sum(place["mix"].values())
+        for name, part in place["mix"].items():
+            counts[name] = counts.get(name, 0.0) + place["per_s"] * part / total
+    worths = {kind["name"]: kind["worth"] for kind in site["classes"]}
+    whole = sum(counts[name] * worths[name] for name in counts)
+    return tuple(
+        Demand(
+            share=counts[kind["name"]] * kind["worth"] / whole,
+            aim_s=kind["aim_ms"] / 1000,
+            deadline_s=kind["deadline_ms"] / 1000,
+            late_credit=kind["late_worth"] / kind["worth"],
+            # Its callers open a flow for each request; the others keep theirs.
+            opens_flow=kind.get("habit") == "fresh",
+        )
+        for kind in site["classes"]
+        if kind["name"] in counts
+    )
+
+
+def _is_standard(entry: dict) -> bool:
+    return entry["name"].split("-")[0] in STANDARD_SLOTS
