--- a/kumquatshift/adapters/neighbours.py
+++ b/kumquatshift/adapters/neighbours.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..direct.feed import Feed, Pace
@@ -56,7 +55,7 @@
         lifecycle: Lifecycle,
         handout: Handout,
     ):
-        self._wake: list[Callable[[], None]] = []
+        self._readers: dict[str, NewsReader] = {}
         self._codec = NewsCodec()
         self._started_at = reactor.seconds()
         self._reactor = reactor
@@ -84,16 +83,16 @@
         self._send_beat()
 
     def follow(
-        self, feeds: dict[str, Feed], readers: list[NewsReader], pace: Pace
+        self, feeds: dict[str, Feed], readers: dict[str, NewsReader], pace: Pace
     ) -> None:
         """Let feeds, and those who make their calls, learn from the others."""
         self._feeds = feeds
         self._codec = NewsCodec()
         for kind, feed in feeds.items():
             feed.follow(self._members, News(kind, pace.fresh_s, self._members))
-        for reader in readers:
+        for reader in readers.values():
             reader.codec = self._codec
-        self._wake = [reader.wake for reader in readers]
+        self._readers = readers
 
     def names(self) -> list[str]:
         """Return the names of the domain's entries that are heard."""
@@ -157,8 +156,10 @@
         for answering in beat.objections:
             self._suspicion.hear_answering(answering, now)
         self.check()
-        for wake in self._wake:
-            wake()
+        for tick in beat.ticks:
+            reader = self._readers.get(tick.kind)
+            if reader is not None and self._feeds[tick.kind].lacks(tick):
+                reader.wake()
 
     def _name(self, asking: Member) -> tuple[Member, ...]:
         """Answer which entries of the asking one's domain are heard."""
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -190,6 +190,10 @@
         since = self._history_from
         return Tick(self.kind, self.is_reader, since, self.changed, self._known, age_s)
 
+    def lacks(self, tick: Tick) -> bool:
+        """Tell whether another entry has changes that are not known here."""
+        return tick.changed > self._known
+
     def known_until(self, now: float) -> float:
         """Return the time up to which every change is known.
 
--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -13,7 +13,7 @@
 
 from .routes import ServiceLimits
 from .suspicion import PROBE_EVERY_S, may_probe
-from .targets import LiveTarget
+from .targets import LiveTarget, TargetTable
 from .warmup import Warmup
 
 # After the list was out of reach, targets missing from it get this long to come
@@ -28,6 +28,9 @@
 # slot. Callers of long flows rest most of the time.
 OTHER_DOMAIN_FLOWS = 40.0
 
+# So many targets are compared for a new flow, in a domain that has more.
+COMPARED_TARGETS = 32
+
 # A request in progress is present load, an open flow only likely load.
 WAITING_WEIGHT = 2.0
 
@@ -43,20 +46,15 @@
         self.relisting_since = -RELIST_GRACE_S
 
     def pick(
-        self, targets: Iterable[LiveTarget], limits: ServiceLimits, now: float
+        self, targets: TargetTable, service: str, limits: ServiceLimits, now: float
     ) -> LiveTarget | None:
         """Return the target for a new flow, or None if none can take it."""
-        able = [
-            target
-            for target in targets
-            if target.flows < limits.max_flows and self._is_able(target, now)
-        ]
-        usable = [t for t in able if self._is_usable(t, limits, now)]
-        # That all are suspected may be our own trouble: one of them is tried.
-        usable = usable or [target for target in able if target.suspected]
-        if not usable:
+        near = targets.of_domain(service, self._domain)
+        chosen = self._pick_near(near, limits, now)
+        if chosen is None:
+            chosen = self._pick_any(targets.of_service(service), limits, now)
+        if chosen is None:
             return None
-        chosen = min(usable, key=self._cost)
         if chosen.is_cold(now):
             self._warmup.note_flow(chosen, limits.cold_flows_per_s, now)
         if chosen.suspected:
@@ -65,6 +63,43 @@
         chosen.last_picked = self._picks
         return chosen
 
+    def _pick_near(
+        self, near: tuple[LiveTarget, ...], limits: ServiceLimits, now: float
+    ) -> LiveTarget | None:
+        """Return the best target of the own domain, unless another may be better.
+
+        Of many only some are compared, in turn: the least loaded of a few dozen
+        is about as good as the least loaded of all.
+        """
+        if len(near) > COMPARED_TARGETS:
+            start = self._picks * COMPARED_TARGETS % len(near)
+            near = near[start : start + COMPARED_TARGETS]
+        usable = [
+            target
+            for target in near
+            if target.flows < limits.max_flows
+            and self._is_able(target, now)
+            and self._is_usable(target, limits, now)
+        ]
+        if not usable:
+            return None
+        chosen = min(usable, key=self._cost)
+        load, _ = self._cost(chosen)
+        return chosen if load < OTHER_DOMAIN_FLOWS else None
+
+    def _pick_any(
+        self, targets: Iterable[LiveTarget], limits: ServiceLimits, now: float
+    ) -> LiveTarget | None:
+        able = [
+            target
+            for target in targets
+            if target.flows < limits.max_flows and self._is_able(target, now)
+        ]
+        usable = [t for t in able if self._is_usable(t, limits, now)]
+        # That all are suspected may be our own trouble: one of them is tried.
+        usable = usable or [target for target in able if target.suspected]
+        return min(usable, key=self._cost, default=None)
+
     def is_present(self, target: LiveTarget, now: float) -> bool:
         """Tell whether a target is there, as far as this entry can know."""
         if target.listed:
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -81,7 +81,8 @@
         it at once, and loses nothing; one that sends it first can not send a
         request that is not idempotent again.
         """
-        ended = {t for t in self._targets.known() if t.flows and self._ended(t, now)}
+        doubtful = self.suspicion.suspected() | self._targets.gone()
+        ended = {t for t in doubtful if t.flows and self._ended(t, now)}
         if not ended:
             return []
         lost = []
@@ -99,6 +100,7 @@
             if now - first > FORGET_STRANGER_S:
                 del self._strangers[key]
         self._targets.forget(now)
+        self.suspicion.forget(now)
 
     def _without_route(self, packet: Packet, now: float) -> Decision:
         if not self.knows_all_routes(now):
@@ -165,9 +167,8 @@
 
     def _pick(self, packet: Packet, route: Route, now: float) -> LiveTarget | None:
         service = share_of(route, packet.flow)
-        candidates = self._targets.of_service(service)
         limits = self._routes.limits(service)
-        return self._placement.pick(candidates, limits, now)
+        return self._placement.pick(self._targets, service, limits, now)
 
     # Packets of open flows
 
--- a/kumquatshift/direct/suspicion.py
+++ b/kumquatshift/direct/suspicion.py
@@ -14,7 +14,7 @@
 
 from .events import Event
 from .flows import Flow
-from .targets import LiveTarget, TargetTable
+from .targets import REMEMBER_GONE_S, LiveTarget, TargetTable
 
 if TYPE_CHECKING:
     from .events import Events
@@ -50,6 +50,9 @@
 # Silences of so many other targets at the same time are no coincidence.
 COINCIDING_TARGETS = 2
 
+# Callers give up earlier.
+FORGET_COMPLAINTS_S = 10.0
+
 # Other entries that hear of a suspicion and know better say so within this time.
 OBJECTION_S = 0.15
 
@@ -83,6 +86,15 @@
         self._answered_at = float("-inf")
         self._delivered_at = float("-inf")
         self._objections: dict[LiveTarget, float] = {}
+        # Both are small, however many targets there are.
+        self._suspected: set[LiveTarget] = set()
+        self._complained_at: dict[LiveTarget, float] = {}
+
+    def forget(self, now: float) -> None:
+        """Drop targets that left the list long ago."""
+        for target in list(self._suspected):
+            if not target.listed and now - target.unlisted_at > REMEMBER_GONE_S:
+                self._suspected.discard(target)
 
     def note_progress(self, flow: Flow, now: float) -> None:
         """Note that a flow's target has answered."""
@@ -117,7 +129,7 @@
             if not target.complaints:
                 target.silent_since = max(flow.stuck_since, target.progress_at)
             target.complaints += 1
-            target.complained_at = now
+            self._note_complaint(target, now)
         if self._is_silent(target, flow, now):
             self._suspect(target, now, flows_stuck=target.complaints)
 
@@ -145,12 +157,16 @@
         silent_s = now - max(target.progress_at, target.silent_since)
         return silent_s > DEAD_AFTER_S and self._is_tried(target, now)
 
+    def suspected(self) -> set[LiveTarget]:
+        """Return the targets that are suspected at present."""
+        return self._suspected
+
     def suspects(self, now: float) -> tuple[Suspect, ...]:
         """Return the suspicions that rest on what this entry has seen."""
         return tuple(
             Suspect(t.name, t.incarnation, t.complaints, round(now - t.progress_at, 3))
-            for t in self._targets
-            if t.suspected and t.complaints and self._works_since(t.silent_since)
+            for t in self._suspected
+            if t.listed and t.complaints and self._works_since(t.silent_since)
         )
 
     def objections(self, now: float) -> tuple[Answering, ...]:
@@ -205,17 +221,27 @@
 
     def _others_silent_at(self, target: LiveTarget) -> float:
         """Return when several others last were complained of, or the only other."""
-        times = sorted(each.complained_at for each in self._targets if each != target)
-        if not times:
+        count = min(COINCIDING_TARGETS, len(self._targets) - 1)
+        times = [at for each, at in self._complained_at.items() if each is not target]
+        if count < 1 or len(times) < count:
             return float("-inf")
-        return times[-min(COINCIDING_TARGETS, len(times))]
+        return times[-count]
+
+    def _note_complaint(self, target: LiveTarget, now: float) -> None:
+        """Keep when targets were complained of, the latest last."""
+        self._complained_at.pop(target, None)
+        self._complained_at[target] = now
+        for each, at in list(self._complained_at.items()):
+            if now - at < FORGET_COMPLAINTS_S:
+                break
+            del self._complained_at[each]
 
     def _forget_own_trouble(self) -> None:
         """Drop what was held against targets while none of them answered.
 
         Several at once do not fail by chance; the way to them did.
         """
-        accused = [target for target in self._targets if target.complaints]
+        accused = [target for target in self._complained_at if target.complaints]
         if len(accused) < 2:
             return
         for target in accused:
@@ -235,6 +261,7 @@
 
     def _suspect(self, target: LiveTarget, now: float, **reason: object) -> None:
         target.suspected = True
+        self._suspected.add(target)
         target.suspected_at = now
         target.tried_at = now
         target.next_probe = now + PROBE_EVERY_S
@@ -253,6 +280,7 @@
             target.others_complaints.clear()
         if target.suspected:
             target.suspected = False
+            self._suspected.discard(target)
             self._events.emit(
                 Event.TARGET_TRUSTED,
                 target=target.name,
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -45,7 +45,6 @@
     __slots__ = (
         "address",
         "cold_until",
-        "complained_at",
         "complaints",
         "cookies",
         "domain",
@@ -78,7 +77,6 @@
         self.flows = 0
         self.waiting = 0
         self.complaints = 0
-        self.complained_at = float("-inf")
         self.others_complaints: dict[str, int] = {}
         self.progress_at = now
         self.silent_since = now
@@ -129,6 +127,8 @@
         self._remembered: dict[tuple[str, int], LiveTarget] = {}
         self._by_cookie: dict[bytes, dict[int, LiveTarget]] = {}
         self._by_service: dict[str, tuple[LiveTarget, ...]] = {}
+        self._by_domain: dict[tuple[str, str], tuple[LiveTarget, ...]] = {}
+        self._gone: set[LiveTarget] = set()
         self._services_stale = False
 
     def __len__(self) -> int:
@@ -137,9 +137,9 @@
     def __iter__(self) -> Iterator[LiveTarget]:
         return iter(self._listed.values())
 
-    def known(self) -> Iterable[LiveTarget]:
-        """Return all targets, with those remembered as gone."""
-        return self._remembered.values()
+    def gone(self) -> set[LiveTarget]:
+        """Return the targets that are remembered and no longer listed."""
+        return self._gone
 
     def get(self, name: str) -> LiveTarget | None:
         """Return the listed target of this name, or None."""
@@ -159,6 +159,12 @@
             self._index_services()
         return self._by_service.get(service, ())
 
+    def of_domain(self, service: str, domain: str) -> tuple[LiveTarget, ...]:
+        """Return the targets of a service in one failure domain."""
+        if self._services_stale:
+            self._index_services()
+        return self._by_domain.get((service, domain), ())
+
     def put(self, report: Report, now: float) -> LiveTarget:
         """Take in what a target says of itself; return its state here."""
         start = (report.name, report.incarnation)
@@ -173,6 +179,7 @@
         if earlier is not None and earlier is not known:
             self._unlist(earlier, now)
         self._listed[known.name] = known
+        self._gone.discard(known)
         self._services_stale = True
         return known
 
@@ -193,17 +200,22 @@
         for start, target in list(self._remembered.items()):
             if not target.listed and now - target.unlisted_at > REMEMBER_GONE_S:
                 del self._remembered[start]
+                self._gone.discard(target)
                 self._by_cookie.clear()
                 self._services_stale = True
 
     def _unlist(self, target: LiveTarget, now: float) -> None:
         target.listed = False
+        self._gone.add(target)
         target.unlisted_at = now
         self._services_stale = True
 
     def _index_services(self) -> None:
         services: dict[str, list[LiveTarget]] = {}
+        domains: dict[tuple[str, str], list[LiveTarget]] = {}
         for target in self._remembered.values():
             services.setdefault(target.service, []).append(target)
+            domains.setdefault((target.service, target.domain), []).append(target)
         self._by_service = {name: tuple(each) for name, each in services.items()}
+        self._by_domain = {place: tuple(each) for place, each in domains.items()}
         self._services_stale = False
--- a/kumquatshift/platform/entry.py
+++ b/kumquatshift/platform/entry.py
@@ -79,7 +79,7 @@
         self._metrics: EntryMetrics | None = None
         self._loop_delays: deque[float] = deque(maxlen=KEPT_DELAYS)
         self._sweep_due = reactor.seconds() + SWEEP_S
-        self._readers: list[StoreReader] = []
+        self._readers: dict[str, StoreReader] = {}
         self._feeds: dict[str, Feed] = {}
         self._warmup = warmup
         self._neighbours: Neighbours | None = None
@@ -118,7 +118,7 @@
             feed = self._feeds[kind] = Feed(kind, self._pace, taker, self._log)
             feed.on_news = self._note_news
             reader = StoreReader(self._reactor, self._settings.store, feed)
-            self._readers.append(reader)
+            self._readers[kind] = reader
             reader.start()
         self._steering.targets_known_until = self._feeds[objects.TARGETS].known_until
         config = self._feeds[objects.CONFIGURATIONS]
@@ -174,7 +174,7 @@
                     entry_metrics.LOOP_DELAY: _drained(self._loop_delays),
                     entry_metrics.STORE_LISTS: [
                         each
-                        for reader in self._readers
+                        for reader in self._readers.values()
                         for each in _drained(reader.call_times)
                     ],
                 },
@@ -186,7 +186,7 @@
 
     def _store_outcomes(self) -> dict[str, int]:
         total: dict[str, int] = {}
-        for reader in self._readers:
+        for reader in self._readers.values():
             for outcome, count in reader.outcomes.items():
                 total[outcome] = total.get(outcome, 0) + count
         return total
@@ -221,9 +221,9 @@
         self._log.emit(Event.SETTINGS_RELOADED, changed=changed)
         if settings.store != self._settings.store:
             self._settings = settings
-            for reader in self._readers:
+            for reader in self._readers.values():
                 reader.stop()
-            self._readers = []
+            self._readers = {}
             self._read_store()
             self._meet()
         self._settings = settings
--- a/tests/features/direct_placement.feature
+++ b/tests/features/direct_placement.feature
@@ -18,6 +18,12 @@
       | the targets in a drain         |
       | the targets in a left the list |
 
+  Scenario: A service whose limits were not told is served all the same
+    Given a direct site of entries in a with 2 targets in a and 0 in b
+    And a configuration that tells no limits
+    When 10 callers in a send 40 requests a second for 1 s
+    Then every request was answered at its first try
+
   Scenario: A domain that is cut off goes on with its own targets
     Given a direct site of entries in a, b with 2 targets in a and 3 in b
     When 30 callers in a send 60 requests a second for 1 s
@@ -64,3 +70,15 @@
     Given a direct site of entries in a, a with 4 targets in a and 0 in b
     When 300 callers send 1200 requests a second for 3 s
     Then the targets run at least 0.9 of what they can in that time
+
+  Scenario Outline: What a new flow costs does not grow with the targets
+    Given a direct site of entries in a with <near> targets in a and <far> in b
+    When <flows> flows are opened at once
+    Then at most <looks> targets are compared for each, and no target has over <most>
+    And with none suspected, none is looked at for lost flows
+
+    Examples: three flows for each near target
+      | near | far  | flows | looks | most |
+      | 12   | 36   | 36    | 24    | 3    |
+      | 100  | 300  | 300   | 64    | 4    |
+      | 750  | 2250 | 2250  | 64    | 4    |
--- a/tests/features/steps/direct_placement_steps.py
+++ b/tests/features/steps/direct_placement_steps.py
@@ -1,3 +1,6 @@
+from collections import Counter
+from unittest import mock
+
 from behave import given, then, when
 
 from kumquatshift.standins.direct_flows import Outcome
@@ -135,3 +138,46 @@
     ran = sum(len(t.runs) for t in targets)
     print(f"{ran} of {able:.0f}, shed {sum(t.shed for t in targets)}")
     assert ran >= share * able, (ran, able)
+
+
+@when("{count:d} flows are opened at once")
+def step_open_many(context, count):
+    site = context.direct
+    placement = site.entries[0].site.placement
+    looked = Counter()
+    present = placement.is_present
+
+    def looking(target, now):
+        looked["present"] += 1
+        return present(target, now)
+
+    placement.is_present = looking
+    for _ in range(count):
+        site.add_caller().ask(b"one")
+    site.run(0.01)
+    context.looks = looked["present"] / count
+
+
+@then(
+    "at most {looks:d} targets are compared for each, and no target has over {most:d}"
+)
+def step_few_looks(context, looks, most):
+    flows = [target.flows for target in context.direct.entries[0].site.targets]
+    print(f"{context.looks:.1f} compared, at most {max(flows)} flows")
+    assert context.looks <= looks and max(flows) <= most
+
+
+@then("with none suspected, none is looked at for lost flows")
+def step_no_looks(context):
+    steering = context.direct.entries[0].steering
+    with mock.patch.object(steering, "_ended") as ended:
+        steering.lost_flows(context.direct.clock.seconds())
+    assert not ended.called
+
+
+@given("a configuration that tells no limits")
+def step_no_limits(context):
+    site = context.direct
+    site.cfg = site.cfg._replace(version=2, limits=())
+    for entry in site.entries:
+        entry.site.put_configuration(site.cfg, "test")
