--- a/kumquatshift/cli/explain.py
+++ b/kumquatshift/cli/explain.py
@@ -96,16 +96,20 @@
 
 
 def explain_failures(lines: Iterable[LogLine]) -> Story:
-    """Tell how many flows were refused, reset or lost packets, by cause."""
+    """Tell how many flows were refused, reset or lost packets, by cause.
+
+    What was sent to an entry that had died, and what did not fit a log's budget,
+    left no line; how often that happened is told, since the lines can not tell
+    which flows it met.
+    """
+    lines = sorted(lines, key=lambda line: line.time)
     failed = [line for line in lines if line.event in _FAILURES]
     counts = Counter((line.event, line.fields.get("reason", "")) for line in failed)
     told = [
         f"{count} x {event} ({reason})" for (event, reason), count in counts.items()
     ]
-    return Story(
-        tuple(sorted(failed, key=lambda line: line.time)),
-        "; ".join(told) or "no flow was refused or reset, and no packet dropped",
-    )
+    told = told or ["no flow was refused or reset, and no packet dropped"]
+    return Story(tuple(failed), "; ".join(told + _untold(lines)))
 
 
 _TARGET_KEYS = ("target", "silent")
@@ -127,6 +131,21 @@
 )
 
 
+def _untold(lines: list[LogLine]) -> list[str]:
+    """Return what kept flows from leaving a line."""
+    told = []
+    deaths = sum(_deaths(lines, entry) for entry in {line.entry for line in lines})
+    if deaths:
+        told.append(
+            f"{deaths} x entry ended without a stop, and what was sent to it until"
+            " it was back left no line"
+        )
+    left_out = [line for line in lines if line.event == "lines left out"]
+    if left_out:
+        told.append(f"{len(left_out)} x lines were left out, as logs are bounded")
+    return told
+
+
 def _is_of_flow(line: LogLine, flow: str) -> bool:
     named = str(line.fields.get("flow", ""))
     return named == flow or named.startswith(f"{flow}>")
@@ -152,23 +171,23 @@
                 f"{line.event}: {line.fields.get('target')} after the flow was placed"
             )
     for entry in sorted(entries):
-        if _died(around, entry):
+        if _deaths(around, entry):
             return f"{entry} ended without a stop: it was killed or lost its power"
     return "the lines do not tell what became of it after it was placed"
 
 
-def _died(lines, entry) -> bool:
-    """Tell whether an entry started again without having stopped."""
+def _deaths(lines, entry) -> int:
+    """Count how often an entry started again without having stopped."""
+    deaths = 0
     running = False
     for line in lines:
         if line.entry != entry:
             continue
         if line.event == "started":
-            if running:
-                return True
+            deaths += running
             running = True
         elif line.event == "stopped":
             running = False
         else:
             running = True
-    return False
+    return deaths
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -49,6 +49,7 @@
             ended("packet dropped", "unknown_cookie"),
         ],
         "nothing more is told of the flow": [opened],
+        "lines had to be left out": [line(10.0, "lines left out", flow_opened=7)],
         "other flows alone are told of": [
             line(10.0, "flow opened", flow="100.64.0.7:10311>198.18.0.1:443")
         ],
