--- a/kumquatshift/cli/definition.py
+++ b/kumquatshift/cli/definition.py
@@ -204,19 +204,21 @@
         """
         return CheckRequest(read_word("--settings", settings))
 
-    def explain(self, log, *, flow="", target=""):
+    def explain(self, log, *, flow="", target="", second=""):
         """Tell from the log of entries why a flow failed, or all that failed.
 
         Args:
             log: a file with the lines of one or more entries
             flow: a flow as in the log, or its caller's address and port
             target: a target, to tell what entries have seen of it
+            second: a time as in the log, to tell all that happened within it
         """
         words = {"--flow": flow, "--target": target}
         flow, target = (
             value and read_word(flag, value) for flag, value in words.items()
         )
-        return ExplainRequest(read_word("--log", log), flow, target)
+        begin = read_second(second) if second else None
+        return ExplainRequest(read_word("--log", log), flow, target, begin)
 
     def wait(self, seconds, *, json="False"):
         """Wait until what stands now is in force at every entry in reach.
@@ -251,6 +253,15 @@
     return value == "True"
 
 
+def read_second(value) -> int:
+    """Return the second that a time of a log is in."""
+    try:
+        return math.floor(float(read_word("--second", value)))
+    except (ValueError, OverflowError):
+        allowed = "allowed: a time as in the log, such as 1787660367.765"
+        raise UsageError(f"--second: found {value!r}; {allowed}") from None
+
+
 def read_wait(value) -> float:
     """Return a number of seconds to wait."""
     try:
--- a/kumquatshift/cli/explain.py
+++ b/kumquatshift/cli/explain.py
@@ -1,4 +1,4 @@
-"""Tell the story of a flow or a target from the log lines of entries.
+"""Tell the story of a flow, a target or a second from the log lines of entries.
 
 Log lines are JSON objects; what stands before the first brace of a line, such
 as what a collector adds, is passed over. The cause is named only where lines
@@ -95,6 +95,17 @@
     return Story(tuple(own), told)
 
 
+def explain_second(lines: Iterable[LogLine], second: int) -> Story:
+    """Tell what all entries logged within a second, and how often each event."""
+    own = sorted(
+        (line for line in lines if second <= line.time < second + 1),
+        key=lambda line: line.time,
+    )
+    counts = Counter(line.event for line in own)
+    told = ", ".join(f"{count} {event}" for event, count in counts.most_common())
+    return Story(tuple(own), told or f"no line is of second {second}")
+
+
 def explain_failures(lines: Iterable[LogLine]) -> Story:
     """Tell how many flows were refused, reset or lost packets, by cause.
 
--- a/kumquatshift/cli/requests.py
+++ b/kumquatshift/cli/requests.py
@@ -90,14 +90,16 @@
 
 @dataclass(frozen=True)
 class ExplainRequest:
-    """The story of a flow, a target or all failures, from log files.
+    """The story of a flow, a target, a second or all failures, from log files.
 
-    Without a flow and a target it is that of all failures.
+    Without a flow, a target and a second it is that of all failures. ``second``
+    is when it begins, in seconds since 1970 as in the log.
     """
 
     path: str
     flow: str = ""
     target: str = ""
+    second: int | None = None
 
 
 @dataclass(frozen=True)
--- a/kumquatshift/programs/ctl.py
+++ b/kumquatshift/programs/ctl.py
@@ -11,7 +11,13 @@
 from ..cli.constants import PROGRAM
 from ..cli.entries import Entry, EntryClient
 from ..cli.execution import Executor
-from ..cli.explain import explain_failures, explain_flow, explain_target, read_lines
+from ..cli.explain import (
+    explain_failures,
+    explain_flow,
+    explain_second,
+    explain_target,
+    read_lines,
+)
 from ..cli.parsing import load_settings, parse
 from ..cli.printing import Printer
 from ..cli.requests import CheckRequest, ExplainRequest
@@ -81,6 +87,8 @@
         story = explain_flow(lines, request.flow)
     elif request.target:
         story = explain_target(lines, request.target)
+    elif request.second is not None:
+        story = explain_second(lines, request.second)
     else:
         story = explain_failures(lines)
     for line in story.lines:
--- a/tests/features/explain.feature
+++ b/tests/features/explain.feature
@@ -40,6 +40,27 @@
     When kumquat-ctl explains the target i-7
     Then the explanation says "1 target suspected"
 
+  Scenario Outline: A second of the day is told
+    Given a log in which the flow is reset for a silent target
+    When kumquat-ctl explains the second <second>
+    Then the explanation says "<said>"
+
+    Examples:
+      | second | said                                |
+      | 12     | 1 target suspected, 1 flow reset    |
+      | 12.7   | 1 target suspected, 1 flow reset    |
+      | 11     | no line is of second 11             |
+
+  Scenario Outline: A second that is none is told with what is allowed
+    Given a log in which the flow is reset for a silent target
+    Then kumquat-ctl refuses the second "<second>", and says "a time as in the log"
+
+    Examples:
+      | second |
+      | noon   |
+      | nan    |
+      | inf    |
+
   Scenario: A log that is not there is told
     When kumquat-ctl explains the log "build/no-such.log"
     Then kumquat-ctl explains nothing, and says "No such file"
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -89,6 +89,18 @@
     explain(context, str(LOG), "--target", target)
 
 
+@when("kumquat-ctl explains the second {second}")
+def step_second(context, second):
+    explain(context, str(LOG), "--second", second)
+
+
+@then('kumquat-ctl refuses the second "{second}", and says "{text}"')
+def step_refused(context, second, text):
+    explain(context, str(LOG), "--second", second)
+    assert context.status is not ExitStatus.SUCCESS, context.status
+    assert text in context.err, context.err
+
+
 @when("kumquat-ctl explains all failures")
 def step_failures(context):
     explain(context, str(LOG))
