--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -103,7 +103,7 @@
                 self._named[member.name] = member
 
     def note_asking(self, member: Member, now: float) -> None:
-        """Keep where an entry is, for itself or for others of its domain."""
+        """Keep where an entry is, for those who ask for others of its domain."""
         self.hear_of((member,))
         if len(self._asked) < MAX_ASKED or member.name in self._asked:
             self._asked[member.name] = member, now
