--- a/extras/report.py
+++ b/extras/report.py
@@ -26,6 +26,11 @@
 OPENING_TRY_S = 1.4
 OPENING_COPIES_S = (0.0, 0.2, 0.6)
 OPENING_TRIES = 3
+OPENING_SENT_S = tuple(
+    attempt * OPENING_TRY_S + copy
+    for attempt in range(OPENING_TRIES)
+    for copy in OPENING_COPIES_S
+)
 DATA_COPIES_S = (0.0, 0.2, 0.6, 1.4, 3.0, 4.6, 6.2, 7.8)
 
 # From the return of a machine to the first packet forwarded: the interpreter and
@@ -36,13 +41,7 @@
 
 def credit(demand: Demand, sent_s: float, back_s: float) -> float:
     """Return what a request earns that was sent while no entry was there."""
-    waits = DATA_COPIES_S
-    if demand.opens_flow:
-        waits = [
-            attempt * OPENING_TRY_S + copy
-            for attempt in range(OPENING_TRIES)
-            for copy in OPENING_COPIES_S
-        ]
+    waits = OPENING_SENT_S if demand.opens_flow else DATA_COPIES_S
     served = [wait for wait in waits if sent_s + wait >= back_s]
     if not served or served[0] > demand.deadline_s:
         return 0.0
--- a/kumquatshift/cli/explain.py
+++ b/kumquatshift/cli/explain.py
@@ -62,7 +62,7 @@
 
 def explain_flow(lines: Iterable[LogLine], flow: str) -> Story:
     """Tell what became of a flow, given as in the log or as its caller's end."""
-    lines = sorted(lines, key=lambda line: line.time)
+    lines = _by_time(lines)
     own = [ln for ln in lines if _is_of_flow(ln, flow)]
     if not own:
         return Story((), f"no line names {flow}; it may have met no entry")
@@ -80,13 +80,10 @@
 
 def explain_target(lines: Iterable[LogLine], target: str) -> Story:
     """Tell what entries have seen of a target, without the flows placed there."""
-    own = sorted(
-        (
-            line
-            for line in lines
-            if line.fields.get("target") == target and line.event != "flow opened"
-        ),
-        key=lambda line: line.time,
+    own = _by_time(
+        line
+        for line in lines
+        if line.fields.get("target") == target and line.event != "flow opened"
     )
     if not own:
         return Story((), f"no line names {target}")
@@ -97,10 +94,7 @@
 
 def explain_second(lines: Iterable[LogLine], second: int) -> Story:
     """Tell what all entries logged within a second, and how often each event."""
-    own = sorted(
-        (line for line in lines if second <= line.time < second + 1),
-        key=lambda line: line.time,
-    )
+    own = _by_time(line for line in lines if second <= line.time < second + 1)
     counts = Counter(line.event for line in own)
     told = ", ".join(f"{count} {event}" for event, count in counts.most_common())
     return Story(tuple(own), told or f"no line is of second {second}")
@@ -113,7 +107,7 @@
     left no line; how often that happened is told, since the lines can not tell
     which flows it met.
     """
-    lines = sorted(lines, key=lambda line: line.time)
+    lines = _by_time(lines)
     failed = [line for line in lines if line.event in _FAILURES]
     counts = Counter((line.event, line.fields.get("reason", "")) for line in failed)
     told = [
@@ -142,10 +136,14 @@
 )
 
 
+def _by_time(lines: Iterable[LogLine]) -> list[LogLine]:
+    return sorted(lines, key=lambda line: line.time)
+
+
 def _untold(lines: list[LogLine]) -> list[str]:
     """Return what kept flows from leaving a line."""
     told = []
-    deaths = sum(_deaths(lines, entry) for entry in {line.entry for line in lines})
+    deaths = _deaths(lines).total()
     if deaths:
         told.append(
             f"{deaths} x entry ended without a stop, and what was sent to it until"
@@ -181,24 +179,22 @@
             return (
                 f"{line.event}: {line.fields.get('target')} after the flow was placed"
             )
+    deaths = _deaths(around)
     for entry in sorted(entries):
-        if _deaths(around, entry):
+        if deaths[entry]:
             return f"{entry} ended without a stop: it was killed or lost its power"
     return "the lines do not tell what became of it after it was placed"
 
 
-def _deaths(lines, entry) -> int:
-    """Count how often an entry started again without having stopped."""
-    deaths = 0
-    running = False
+def _deaths(lines: Iterable[LogLine]) -> Counter[str]:
+    """Count how often each entry started again without having stopped."""
+    deaths = Counter()
+    running = set()
     for line in lines:
-        if line.entry != entry:
+        if line.event == "stopped":
+            running.discard(line.entry)
             continue
-        if line.event == "started":
-            deaths += running
-            running = True
-        elif line.event == "stopped":
-            running = False
-        else:
-            running = True
+        if line.event == "started" and line.entry in running:
+            deaths[line.entry] += 1
+        running.add(line.entry)
     return deaths
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -156,7 +156,7 @@
         self._members: Members | None = None
         self._news: News | None = None
         self.is_reader = False
-        self._revision: int | None = None
+        self._is_listed = False
         self._known: int = -1
         self.changed = -1
         self._items: dict[str, Item] = {}
@@ -224,13 +224,13 @@
                 source = self._news.newest(self._known, now)
                 if source is not None:
                     return self._follow(source, now)
-        if self._revision is None:
+        if not self._is_listed:
             after = self._pages[-1].name if self._pages else ""
             return ListCall(self.kind, after, self._timeout_s)
         self._is_watching = True
         pace = self._pace
         watch_s = pace.reader_watch_s if self.is_reader else pace.watch_s
-        return WatchCall(self.kind, self._revision, watch_s, watch_s + WATCH_GRACE_S)
+        return WatchCall(self.kind, self._known, watch_s, watch_s + WATCH_GRACE_S)
 
     def take_page(self, page: Page, now: float) -> None:
         """Take in a page; the last one completes the list."""
@@ -241,13 +241,13 @@
         if page.has_more and page.items:
             return
         items, self._pages = tuple(self._pages), []
-        self._revision = self._first_revision
+        self._is_listed = True
         self._take_list(items, self._first_revision, now)
 
     def take_changes(self, changes: Changes, now: float) -> None:
         """Take in what a watch brought."""
         self._is_watching = False
-        self._revision = self._known = changes.revision
+        self._known = changes.revision
         self._note_answer(now)
         self._apply(changes.changes, changes.revision, now)
         if changes.changes:
@@ -268,8 +268,6 @@
         self._known = news.tick.revision
         self.changed = max(self.changed, news.tick.changed)
         self.confirmed_at = max(self.confirmed_at, now - news.tick.age_s)
-        if self._revision is not None:
-            self._revision = self._known
 
     def take_news_busy(self, now: float) -> None:
         """Note that another entry answers others first; it is asked again soon."""
@@ -303,7 +301,7 @@
         """Note that a call failed; the feed lists anew."""
         self._is_watching = False
         self._failed_at = now
-        self._revision = None
+        self._is_listed = False
         self._pages = []
         if failure == Failure.EXPIRED:
             self._events.emit(Event.STORE_HISTORY_GONE, kind=self.kind)
@@ -337,14 +335,12 @@
 
     def _follow(self, source: Source, now: float) -> NewsCall | None:
         tick = source.tick
-        if tick.changed > self._known:
+        if self.lacks(tick):
             holder = self._news.holder(source, self._known, self._busy_tries)
             return self._ask(holder, self._known)
         self._known = max(self._known, tick.revision)
         self.confirmed_at = max(self.confirmed_at, now - tick.age_s)
         self.is_current = True
-        if self._revision is not None:
-            self._revision = self._known
         return None
 
     def _ask(self, source: Source, since: int) -> NewsCall:
@@ -379,11 +375,14 @@
             self._keep(Change(before[name], True), revision)
 
     def _apply(self, changes: tuple[Change, ...], revision: int, now: float) -> None:
+        brought_news = False
         for change in changes:
             if self._is_news(change.item):
+                brought_news = True
                 self._remember(change, revision)
                 self._target.take_change(change, now)
-                self._tell_news()
+        if brought_news:
+            self._tell_news()
 
     def _tell_news(self) -> None:
         if self.on_news is not None:
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -156,7 +156,7 @@
 
     def shares(self) -> bool:
         """Tell whether the domain has enough entries for readers to pay."""
-        return len(self.names()) >= MIN_SHARING
+        return len(self.peers()) + 1 >= MIN_SHARING
 
     def is_reader(self, kind: str, reaches_store: bool) -> bool:
         """Tell whether this entry is one of those that read for the domain.
--- a/kumquatshift/direct/news.py
+++ b/kumquatshift/direct/news.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import xxhash
@@ -43,13 +44,10 @@
     def best(self, now: float) -> Source | None:
         """Return the entry with the youngest knowledge, however old it is."""
         found = None
-        for beat, at in self._members.peers():
-            for tick in beat.ticks:
-                if tick.kind != self._kind:
-                    continue
-                aged = tick._replace(age_s=tick.age_s + now - at)
-                if found is None or aged.age_s < found.tick.age_s:
-                    found = Source(beat.address, aged)
+        for address, tick, at in self._ticks():
+            aged = tick._replace(age_s=tick.age_s + now - at)
+            if found is None or aged.age_s < found.tick.age_s:
+                found = Source(address, aged)
         return found
 
     def newest(self, known: int, now: float) -> Source | None:
@@ -60,16 +58,13 @@
         would fill its link for a second.
         """
         found = None
-        for beat, at in self._members.peers():
-            for tick in beat.ticks:
-                age_s = tick.age_s + now - at
-                if tick.kind != self._kind or not tick.is_reader:
-                    continue
-                if age_s > self._fresh_s:
-                    continue
-                rank = tick.since <= known, tick.changed
-                if found is None or rank > found[0]:
-                    found = rank, Source(beat.address, tick._replace(age_s=age_s))
+        for address, tick, at in self._ticks():
+            age_s = tick.age_s + now - at
+            if not tick.is_reader or age_s > self._fresh_s:
+                continue
+            rank = tick.since <= known, tick.changed
+            if found is None or rank > found[0]:
+                found = rank, Source(address, tick._replace(age_s=age_s))
         return found[1] if found is not None else None
 
     def holder(self, source: Source, known: int, tries: int) -> Source:
@@ -80,12 +75,9 @@
         """
         wanted = source.tick.changed
         holders = [
-            Source(beat.address, tick)
-            for beat, _ in self._members.peers()
-            for tick in beat.ticks
-            if tick.kind == self._kind
-            and tick.changed >= wanted
-            and tick.since <= known
+            Source(address, tick)
+            for address, tick, _ in self._ticks()
+            if tick.changed >= wanted and tick.since <= known
         ]
         me = self._members.me.name
         return min(
@@ -94,6 +86,13 @@
             default=source,
         )
 
+    def _ticks(self) -> Iterator[tuple[tuple[str, int], Tick, float]]:
+        """Yield the ticks of this kind, each with its entry and when it came."""
+        for beat, at in self._members.peers():
+            for tick in beat.ticks:
+                if tick.kind == self._kind:
+                    yield beat.address, tick, at
+
 
 class Handout:
     """How many long answers an entry gives to followers, for the sake of its link."""
--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -74,13 +74,8 @@
         if len(near) > COMPARED_TARGETS:
             start = self._picks * COMPARED_TARGETS % len(near)
             near = near[start : start + COMPARED_TARGETS]
-        usable = [
-            target
-            for target in near
-            if target.flows < limits.max_flows
-            and self._is_able(target, now)
-            and self._is_usable(target, limits, now)
-        ]
+        able = self._able(near, limits, now)
+        usable = [t for t in able if self._is_usable(t, limits, now)]
         if not usable:
             return None
         chosen = min(usable, key=self._cost)
@@ -90,11 +85,7 @@
     def _pick_any(
         self, targets: Iterable[LiveTarget], limits: ServiceLimits, now: float
     ) -> LiveTarget | None:
-        able = [
-            target
-            for target in targets
-            if target.flows < limits.max_flows and self._is_able(target, now)
-        ]
+        able = self._able(targets, limits, now)
         usable = [t for t in able if self._is_usable(t, limits, now)]
         # That all are suspected may be our own trouble: one of them is tried.
         usable = usable or [target for target in able if target.suspected]
@@ -124,6 +115,15 @@
         """Tell whether the list was out of reach until a moment ago."""
         return now - self.relisting_since < RELIST_GRACE_S
 
+    def _able(
+        self, targets: Iterable[LiveTarget], limits: ServiceLimits, now: float
+    ) -> list[LiveTarget]:
+        return [
+            target
+            for target in targets
+            if target.flows < limits.max_flows and self._is_able(target, now)
+        ]
+
     def _is_able(self, target: LiveTarget, now: float) -> bool:
         if target.draining or target.domain in self.evacuated:
             return False
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -47,12 +47,10 @@
                 source=source,
             )
 
-    def list_targets(
-        self, reports: Iterable[Report], unreadable: Iterable[str], now: float
-    ) -> None:
+    def list_targets(self, reports: Iterable[Report], now: float) -> None:
         """Take in the whole list; those missing from it have left."""
         self._has_targets = True
-        names = set(unreadable)
+        names = set()
         for report in reports:
             names.add(report.name)
             self.put_target(report, now)
--- a/kumquatshift/platform/takers.py
+++ b/kumquatshift/platform/takers.py
@@ -67,7 +67,7 @@
         if after_loss:
             self._site.note_relisting(now)
         reports = [self._report(item) for item in items]
-        self._site.list_targets([r for r in reports if r is not None], (), now)
+        self._site.list_targets([r for r in reports if r is not None], now)
 
     def take_change(self, change: Change, now: float) -> None:
         """Take in what one target says, or that it has left."""
