--- a/kumquatshift/adapters/entry_metrics.py
+++ b/kumquatshift/adapters/entry_metrics.py
@@ -134,6 +134,16 @@
                 "Since the store last confirmed what is known.",
                 lambda feed=feed: self._clock.seconds() - feed.confirmed_at,
             )
+            add(
+                f"kumquatshift_{kind}_era",
+                "Era of the store from which a kind is known.",
+                lambda feed=feed: feed.era,
+            )
+            add(
+                f"kumquatshift_{kind}_revision",
+                "Revision of the last change of a kind that is known.",
+                lambda feed=feed: feed.changed,
+            )
 
 
 def _feed_state(feed: Feed, now: float) -> dict:
@@ -141,6 +151,7 @@
     return {
         "current": feed.is_current,
         "reader": feed.is_reader,
+        "era": feed.era,
         "revision": status.revision if status else None,
         "age_s": status.age_s if status else None,
     }
--- a/kumquatshift/adapters/http_client.py
+++ b/kumquatshift/adapters/http_client.py
@@ -32,10 +32,11 @@
 
 
 class Response(NamedTuple):
-    """A complete response."""
+    """A complete response; the names of its headers are in lower case."""
 
     status: int
     body: bytes
+    headers: dict[bytes, bytes] = {}  # noqa: RUF012 (never changed)
 
 
 class CallFailure(NamedTuple):
@@ -56,6 +57,7 @@
         self._parser = None
         self._send_buffer = b""
         self._body = bytearray()
+        self._headers: dict[bytes, bytes] = {}
         self._on_done: Callable[[Response | CallFailure], None] | None = None
         self._timeout = None
         self._last_received_at: float | None = None
@@ -82,6 +84,7 @@
         self._send_buffer = head.encode() + b"\r\n" + body
         self._parser = HttpResponseParser(self)
         self._body.clear()
+        self._headers = {}
         if self._sock is None:
             error = self._connect()
             if error:
@@ -137,6 +140,10 @@
 
     # The parser's interface
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Receive one header."""
+        self._headers[name.lower()] = value
+
     def on_body(self, data: bytes) -> None:
         """Receive a part of the body."""
         self._body += data
@@ -145,7 +152,9 @@
 
     def on_message_complete(self) -> None:
         """Pass the response to ``on_done``."""
-        response = Response(self._parser.get_status_code(), bytes(self._body))
+        response = Response(
+            self._parser.get_status_code(), bytes(self._body), self._headers
+        )
         keep_alive = self._parser.should_keep_alive()
         on_done = self._on_done
         self._finish()
--- a/kumquatshift/direct/calls.py
+++ b/kumquatshift/direct/calls.py
@@ -40,11 +40,15 @@
 
 
 class Page(NamedTuple):
-    """One page of a list; ``revision`` is the store's revision when it was read."""
+    """One page of a list; ``revision`` is the store's revision when it was read.
+
+    ``era`` rises each time that the store comes back from an older copy.
+    """
 
     items: tuple[Item, ...]
     has_more: bool
     revision: int
+    era: int = 0
 
 
 class Change(NamedTuple):
@@ -55,10 +59,11 @@
 
 
 class Changes(NamedTuple):
-    """All changes up to ``revision`` since the one requested."""
+    """All changes up to ``revision`` since the one requested; ``era`` as in `Page`."""
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 class FeedStatus(NamedTuple):
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -163,6 +163,9 @@
         self._members: Members | None = None
         self._peers: PeerSelector | None = None
         self.is_reader = False
+        self.era = 0
+        self._followed: tuple[str, int] | None = None
+        self._updater: tuple[str, int] | None = None
         self._is_listed = False
         self._known_revision: int = -1
         self.changed = -1
@@ -253,11 +256,30 @@
             return
         items, self._pages = tuple(self._pages), []
         self._is_listed = True
+        self.era = page.era
+        self._events.emit(
+            Event.STORE_LISTED,
+            kind=self.kind,
+            era=page.era,
+            revision=self._first_revision,
+            known=self._known_revision,
+            objects=len(items),
+        )
         self._apply_list(items, self._first_revision, now)
 
     def handle_changes(self, changes: Changes, now: float) -> None:
         """Process the result of a watch."""
         self._is_watching = False
+        self.era = changes.era
+        if changes.changes:
+            self._events.emit(
+                Event.STORE_CHANGED,
+                kind=self.kind,
+                era=changes.era,
+                revision=changes.revision,
+                known=self._known_revision,
+                changes=len(changes.changes),
+            )
         self._known_revision = changes.revision
         self._note_store_answer(now)
         self._apply_changes(changes.changes, changes.revision, now)
@@ -267,7 +289,19 @@
     def handle_peer_update(self, update: PeerUpdate, now: float) -> None:
         """Process an update from a peer."""
         self._busy_tries = 0
-        if update.status.revision < self._known_revision:
+        status = update.status
+        self._events.emit(
+            Event.PEER_UPDATED,
+            kind=self.kind,
+            peer=self._updater,
+            revision=status.revision,
+            changed=status.changed,
+            known=self._known_revision,
+            age_s=status.age_s,
+            is_snapshot=update.is_snapshot,
+            changes=len(update.changes),
+        )
+        if status.revision < self._known_revision:
             return
         if now - self.confirmed_at > self._timing.fresh_s:
             # The readers had lost the store too, and now pass on its new list.
@@ -346,6 +380,17 @@
 
     def _follow_reader(self, source: Source, now: float) -> PeerUpdateCall | None:
         status = source.status
+        if source.address != self._followed:
+            self._followed = source.address
+            self._events.emit(
+                Event.READER_FOLLOWED,
+                kind=self.kind,
+                peer=source.address,
+                revision=status.revision,
+                changed=status.changed,
+                known=self._known_revision,
+                age_s=round(status.age_s, 3),
+            )
         if self.lacks(status):
             alternate = self._peers.alternate(
                 source, self._known_revision, self._busy_tries
@@ -357,6 +402,7 @@
         return None
 
     def _call_peer(self, source: Source, since: int) -> PeerUpdateCall:
+        self._updater = source.address
         return PeerUpdateCall(self.kind, source.address, since, PEER_CALL_TIMEOUT_S)
 
     def _apply_list(self, items: tuple[Item, ...], revision: int, now: float) -> None:
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -36,15 +36,18 @@
         known = self._has_configuration and self._has_targets
         return known and self._has_evacuations
 
-    def put_configuration(self, cfg: Configuration, source: str) -> None:
-        """Activate a configuration if it is newer than the active one."""
+    def put_configuration(self, cfg: Configuration, revision: int) -> None:
+        """Activate a configuration if it is newer than the active one.
+
+        ``revision`` is that of the store's object, for the log.
+        """
         self._has_configuration = True
         if self.routes.put(cfg):
             self._events.emit(
                 Event.CONFIG_IN_FORCE,
                 version=cfg.version,
                 routes=len(cfg.routes),
-                source=source,
+                revision=revision,
             )
 
     def list_targets(self, reports: Iterable[Report], now: float) -> None:
--- a/kumquatshift/platform/feed_listeners.py
+++ b/kumquatshift/platform/feed_listeners.py
@@ -54,7 +54,7 @@
         except objects.UnreadableError as exc:
             self._events.emit(Event.CONFIG_REJECTED, problem=str(exc))
             return
-        self._site.put_configuration(cfg, "store")
+        self._site.put_configuration(cfg, item.revision)
 
 
 class TargetListener:
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -17,6 +17,9 @@
 # Name of the object that holds the configuration; others of its kind are ignored.
 CONFIGURATION_NAME = "main"
 
+# Rises by one each time that the store comes back from an older copy.
+ERA_HEADER = b"store-era"
+
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -24,17 +27,17 @@
     """An object or response does not conform to the platform's API."""
 
 
-def page_from(body: bytes) -> Page:
+def page_from(body: bytes, era: int = 0) -> Page:
     """Decode one page of a list; raises `UnreadableError`."""
     try:
         answer = json.loads(body)
         items = tuple(_item(each) for each in answer["items"])
-        return Page(items, bool(answer.get("more")), int(answer["currentRev"]))
+        return Page(items, bool(answer.get("more")), int(answer["currentRev"]), era)
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise UnreadableError(f"invalid list response: {exc!r}") from exc
 
 
-def changes_from(body: bytes) -> Changes:
+def changes_from(body: bytes, era: int = 0) -> Changes:
     """Decode the response to a watch; raises `UnreadableError`."""
     try:
         answer = json.loads(body)
@@ -42,11 +45,22 @@
             Change(_item(each["object"]), bool(each["deleted"]))
             for each in answer["events"]
         )
-        return Changes(changes, int(answer["currentRev"]))
+        return Changes(changes, int(answer["currentRev"]), era)
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise UnreadableError(f"invalid watch response: {exc!r}") from exc
 
 
+def era_from(headers: dict[bytes, bytes]) -> int:
+    """Return the store's era from the headers of an answer; `UnreadableError`.
+
+    A store that never came back from a copy may leave the header out.
+    """
+    value = headers.get(ERA_HEADER, b"0")
+    if not value.isdigit():
+        raise UnreadableError(f"invalid Store-Era: {value!r}")
+    return int(value)
+
+
 def configuration_from(spec: object) -> Configuration:
     """Decode a configuration; raises `UnreadableError`."""
     try:
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -13,7 +13,7 @@
 from ..adapters.http_server import BUSY_STATUS
 from ..direct.calls import Failure, ListCall, PeerUpdateCall, WatchCall
 from ..direct.feed import Feed
-from .objects import changes_from, page_from
+from .objects import changes_from, era_from, page_from
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,26 +110,37 @@
             return
         feed = self._feed
         self._handle_answer(
-            answer, self.codec.decode, feed.handle_peer_update, feed.handle_peer_failure
+            answer,
+            lambda response: self.codec.decode(response.body),
+            feed.handle_peer_update,
+            feed.handle_peer_failure,
         )
 
     def _on_list(self, answer: Response | CallFailure) -> None:
         self._count(answer)
         self.call_latencies.append(self._reactor.seconds() - self._call_started_at)
         feed = self._feed
-        self._handle_answer(answer, page_from, feed.handle_page, feed.handle_failure)
+        self._handle_answer(
+            answer,
+            lambda response: page_from(response.body, era_from(response.headers)),
+            feed.handle_page,
+            feed.handle_failure,
+        )
 
     def _on_watch(self, answer: Response | CallFailure) -> None:
         self._count(answer)
         feed = self._feed
         self._handle_answer(
-            answer, changes_from, feed.handle_changes, feed.handle_failure
+            answer,
+            lambda response: changes_from(response.body, era_from(response.headers)),
+            feed.handle_changes,
+            feed.handle_failure,
         )
 
     def _handle_answer(
         self,
         answer: Response | CallFailure,
-        decode: Callable[[bytes], Decoded],
+        decode: Callable[[Response], Decoded],
         on_decoded: Callable[[Decoded, float], None],
         on_failure: Callable[[str, str, float], None],
     ) -> None:
@@ -142,7 +153,7 @@
             on_failure(failure, f"status {answer.status}", now)
         else:
             try:
-                decoded = decode(answer.body)
+                decoded = decode(answer)
             except ValueError as exc:
                 on_failure(Failure.UNREADABLE, str(exc), now)
             else:
