--- a/kumquatshift/adapters/entry_metrics.py
+++ b/kumquatshift/adapters/entry_metrics.py
@@ -137,12 +137,12 @@
             add(
                 f"kumquatshift_{kind}_era",
                 "Era of the store from which a kind is known.",
-                lambda feed=feed: feed.era,
+                lambda feed=feed: feed.changed.era,
             )
             add(
                 f"kumquatshift_{kind}_revision",
                 "Revision of the last change of a kind that is known.",
-                lambda feed=feed: feed.changed,
+                lambda feed=feed: feed.changed.number,
             )
 
 
@@ -151,8 +151,8 @@
     return {
         "current": feed.is_current,
         "reader": feed.is_reader,
-        "era": feed.era,
-        "revision": status.revision if status else None,
+        "era": status.revision.era if status else None,
+        "revision": status.revision.number if status else None,
         "age_s": status.age_s if status else None,
     }
 
--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -11,7 +11,14 @@
 import zlib
 from collections.abc import Callable
 
-from ..direct.calls import Change, FeedStatus, Item, PeerUpdate
+from ..direct.calls import (
+    NO_REVISION,
+    Change,
+    FeedStatus,
+    Item,
+    PeerUpdate,
+    Revision,
+)
 from ..direct.failure_detector import Refutation, Suspect
 from ..direct.members import Member, PeerHeartbeat
 from .epoll import Descriptor
@@ -27,6 +34,11 @@
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
+# A revision travels as one integer, with the era above this bit. Entries that know
+# no eras order such revisions correctly too.
+ERA_SHIFT = 48
+
+
 class UnreadableNewsError(ValueError):
     """The update from another entry could not be decoded."""
 
@@ -60,7 +72,8 @@
         self, heartbeat: PeerHeartbeat, addresses: list[tuple[str, int]]
     ) -> None:
         """Send a heartbeat to each address."""
-        data = json.dumps({"beat": heartbeat}).encode()
+        statuses = tuple(_pack_status(each) for each in heartbeat.statuses)
+        data = json.dumps({"beat": heartbeat._replace(statuses=statuses)}).encode()
         for address in addresses:
             self._send(data, address)
 
@@ -117,27 +130,29 @@
     def __init__(self):
         self._encoded: dict[tuple, bytes] = {}
 
-    def path(self, kind: str, since: int) -> str:
+    def path(self, kind: str, since: Revision) -> str:
         """Return the path of the updates of a kind of feed after ``since``."""
-        return f"{NEWS_PATH.decode()}?{kind}&{since}"
+        return f"{NEWS_PATH.decode()}?{kind}&{_pack_revision(since)}"
 
-    def parse_query(self, query: bytes) -> tuple[str, int]:
+    def parse_query(self, query: bytes) -> tuple[str, Revision]:
         """Return the kind and ``since`` of a query; raises `ValueError`."""
         kind, _, since = query.decode().partition("&")
-        return kind, int(since)
+        return kind, _parse_revision(since)
 
-    def encode(self, update: PeerUpdate, since: int) -> bytes:
+    def encode(self, update: PeerUpdate, since: Revision) -> bytes:
         """Encode an answer for a follower that knows all changes up to ``since``."""
         status = update.status
         key = status.kind, update.is_snapshot, since, status.since, status.changed
         body = self._encoded.get(key)
         if body is None:
-            text = json.dumps(update[:3]).encode()
+            items = [_pack_item(each) for each in update.items]
+            changes = [(_pack_item(c.item), c.is_deleted) for c in update.changes]
+            text = json.dumps((update.is_snapshot, items, changes)).encode()
             body = zlib.compress(text, level=zlib.Z_BEST_SPEED)
             if len(self._encoded) >= MAX_CACHED_ANSWERS:
                 del self._encoded[next(iter(self._encoded))]
             self._encoded[key] = body
-        return json.dumps(status).encode() + b"\n" + body
+        return json.dumps(_pack_status(status)).encode() + b"\n" + body
 
     def decode(self, body: bytes) -> PeerUpdate:
         """Decode an answer; raises `UnreadableNewsError`."""
@@ -197,7 +212,7 @@
 
 def _parse_status(wire: list) -> FeedStatus:
     kind, is_reader, *revisions, age_s = wire
-    since, changed, revision = (int(each) for each in revisions)
+    since, changed, revision = (_parse_revision(each) for each in revisions)
     return FeedStatus(
         str(kind), bool(is_reader), since, changed, revision, float(age_s)
     )
@@ -205,4 +220,27 @@
 
 def _parse_item(wire: list) -> Item:
     name, revision, value = wire
-    return Item(str(name), int(revision), value)
+    return Item(str(name), _parse_revision(revision), value)
+
+
+def _parse_revision(wire: int | str) -> Revision:
+    packed = int(wire)
+    if packed < 0:
+        return NO_REVISION
+    era, number = divmod(packed, 1 << ERA_SHIFT)
+    return Revision(era, number)
+
+
+def _pack_revision(revision: Revision) -> int:
+    if revision == NO_REVISION:
+        return -1
+    return (revision.era << ERA_SHIFT) + revision.number
+
+
+def _pack_status(status: FeedStatus) -> tuple:
+    kind, is_reader, *revisions, age_s = status
+    return kind, is_reader, *(_pack_revision(each) for each in revisions), age_s
+
+
+def _pack_item(item: Item) -> tuple:
+    return item.name, _pack_revision(item.revision), item.value
--- a/kumquatshift/direct/calls.py
+++ b/kumquatshift/direct/calls.py
@@ -5,6 +5,24 @@
 from typing import NamedTuple
 
 
+class Revision(NamedTuple):
+    """Position in the history of the store; the higher of two is the later one.
+
+    ``number`` increases with each change. When the store comes back from an older
+    copy, numbers go back and are given out again, and ``era`` rises::
+
+        >>> Revision(era=2, number=480) > Revision(era=1, number=500)
+        True
+    """
+
+    era: int
+    number: int
+
+
+# Lower than every revision of a store.
+NO_REVISION = Revision(-1, -1)
+
+
 class ListCall(NamedTuple):
     """Request a page of objects with names after ``after``."""
 
@@ -17,38 +35,37 @@
     """Request changes after ``revision``, waiting ``wait_s`` at most."""
 
     kind: str
-    revision: int
+    revision: Revision
     wait_s: float
     timeout_s: float
 
 
 class PeerUpdateCall(NamedTuple):
-    """Request a peer's changes after revision ``since``; -1 for all objects."""
+    """Request a peer's changes after ``since``; `NO_REVISION` for all objects."""
 
     kind: str
     address: tuple[str, int]
-    since: int
+    since: Revision
     timeout_s: float
 
 
 class Item(NamedTuple):
-    """One object of the store; ``value`` is its content decoded by the adapter."""
+    """One object of the store; ``value`` is its content decoded by the adapter.
+
+    The era of ``revision`` is the one in which the object was read.
+    """
 
     name: str
-    revision: int
+    revision: Revision
     value: object
 
 
 class Page(NamedTuple):
-    """One page of a list; ``revision`` is the store's revision when it was read.
-
-    ``era`` rises each time that the store comes back from an older copy.
-    """
+    """One page of a list; ``revision`` is the store's revision when it was read."""
 
     items: tuple[Item, ...]
     has_more: bool
-    revision: int
-    era: int = 0
+    revision: Revision
 
 
 class Change(NamedTuple):
@@ -59,11 +76,10 @@
 
 
 class Changes(NamedTuple):
-    """All changes up to ``revision`` since the one requested; ``era`` as in `Page`."""
+    """All changes up to ``revision`` since the one requested."""
 
     changes: tuple[Change, ...]
-    revision: int
-    era: int = 0
+    revision: Revision
 
 
 class FeedStatus(NamedTuple):
@@ -76,9 +92,9 @@
 
     kind: str
     is_reader: bool
-    since: int
-    changed: int
-    revision: int
+    since: Revision
+    changed: Revision
+    revision: Revision
     age_s: float
 
 
--- a/kumquatshift/direct/events.py
+++ b/kumquatshift/direct/events.py
@@ -31,6 +31,7 @@
     STORE_LOST = "store lost"
     STORE_REGAINED = "store regained"
     STORE_HISTORY_GONE = "store history gone"
+    STORE_RESTORED = "store restored"
     STORE_LISTED = "store listed"
     STORE_CHANGED = "store changes received"
     PEER_UPDATED = "peer update received"
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -6,6 +6,10 @@
 I/O: the driver asks for the next call, makes it and passes the result back. The
 length of a watch is limited by the deadlines for reacting to a change, since a
 dead connection looks the same as one without changes.
+
+An answer of a new era tells that the store came back from an older copy. The feed
+then lists again: the list lacks what was written since the copy, until that is
+written again, and nothing of it compares with the revisions known before.
 """
 
 from __future__ import annotations
@@ -13,6 +17,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .calls import (
+    NO_REVISION,
     Change,
     Changes,
     Failure,
@@ -22,6 +27,7 @@
     Page,
     PeerUpdate,
     PeerUpdateCall,
+    Revision,
     WatchCall,
 )
 from .events import Event
@@ -51,6 +57,10 @@
             """Process that the store was unreachable for the domain's readers."""
             ...
 
+        def handle_store_restore(self, now: float) -> None:
+            """Process that the list that follows is from an older copy."""
+            ...
+
 
 # Changes within this time are fetched in one call, which saves calls in bursts
 # such as rolling releases. It is well below the deadlines for reacting.
@@ -163,17 +173,16 @@
         self._members: Members | None = None
         self._peers: PeerSelector | None = None
         self.is_reader = False
-        self.era = 0
         self._followed: tuple[str, int] | None = None
         self._updater: tuple[str, int] | None = None
         self._is_listed = False
-        self._known_revision: int = -1
-        self.changed = -1
+        self._known_revision = NO_REVISION
+        self.changed = NO_REVISION
         self._items: dict[str, Item] = {}
-        self._history: list[tuple[int, Change]] = []
-        self._history_from = 0
+        self._history: list[tuple[Revision, Change]] = []
+        self._history_from = NO_REVISION
         self._pages: list[Item] = []
-        self._first_revision = 0
+        self._first_revision = NO_REVISION
         self._next_call_at = 0.0
         self._timeout_s = FIRST_TIMEOUT_S
         self._lost_at: float | None = None
@@ -194,7 +203,7 @@
 
     def status(self, now: float) -> FeedStatus | None:
         """Return the feed's revision and age, or None before its first list."""
-        if self._known_revision < 0:
+        if self._known_revision == NO_REVISION:
             return None
         age_s = round(now - self.confirmed_at, 3)
         since = self._history_from
@@ -228,11 +237,12 @@
             uses_readers and self._members.is_reader(self.kind, self.reaches_store(now))
         )
         if self._peers is not None and now - self._peer_failed_at > RETRY_S:
-            if self._known_revision < 0 and self._lost_at is not None:
+            is_unknown = self._known_revision == NO_REVISION
+            if is_unknown and self._lost_at is not None:
                 source = self._peers.freshest(now)
                 if source is not None:
-                    return self._call_peer(source, -1)
-            if uses_readers and not self.is_reader and self._known_revision >= 0:
+                    return self._call_peer(source, NO_REVISION)
+            if uses_readers and not self.is_reader and not is_unknown:
                 source = self._peers.reader_to_follow(self._known_revision, now)
                 if source is not None:
                     return self._follow_reader(source, now)
@@ -248,19 +258,24 @@
 
     def handle_page(self, page: Page, now: float) -> None:
         """Process a page; the last one completes the list."""
+        if page.revision.era < self._known_revision.era:
+            detail = f"era {page.revision.era} after {self._known_revision.era}"
+            self.handle_failure(Failure.UNREADABLE, detail, now)
+            return
         if not self._pages:
             # The first watch starts here and repeats changes made between pages.
             self._first_revision = page.revision
+        elif page.revision.era != self._first_revision.era:
+            self._pages = []  # Of two states of the store: start again.
+            return
         self._pages.extend(page.items)
         if page.has_more and page.items:
             return
         items, self._pages = tuple(self._pages), []
         self._is_listed = True
-        self.era = page.era
         self._events.emit(
             Event.STORE_LISTED,
             kind=self.kind,
-            era=page.era,
             revision=self._first_revision,
             known=self._known_revision,
             objects=len(items),
@@ -270,12 +285,13 @@
     def handle_changes(self, changes: Changes, now: float) -> None:
         """Process the result of a watch."""
         self._is_watching = False
-        self.era = changes.era
+        if changes.revision.era != self._known_revision.era:
+            self._is_listed = False
+            return
         if changes.changes:
             self._events.emit(
                 Event.STORE_CHANGED,
                 kind=self.kind,
-                era=changes.era,
                 revision=changes.revision,
                 known=self._known_revision,
                 changes=len(changes.changes),
@@ -332,7 +348,7 @@
             Event.NEWS_FAILED, kind=self.kind, failure=failure, detail=detail
         )
 
-    def updates_since(self, revision: int, now: float) -> PeerUpdate | None:
+    def updates_since(self, revision: Revision, now: float) -> PeerUpdate | None:
         """Return the update for a peer that knows everything up to ``revision``."""
         status = self.status(now)
         if status is None:
@@ -401,32 +417,43 @@
         self.is_current = True
         return None
 
-    def _call_peer(self, source: Source, since: int) -> PeerUpdateCall:
+    def _call_peer(self, source: Source, since: Revision) -> PeerUpdateCall:
         self._updater = source.address
         return PeerUpdateCall(self.kind, source.address, since, PEER_CALL_TIMEOUT_S)
 
-    def _apply_list(self, items: tuple[Item, ...], revision: int, now: float) -> None:
+    def _apply_list(
+        self, items: tuple[Item, ...], revision: Revision, now: float
+    ) -> None:
         after_loss = self._lost_at is not None
-        self._replace_items(items, revision)
+        self._replace_items(items, revision, now)
         self._known_revision = revision
         self._note_store_answer(now)
         self._listener.handle_list(items, after_loss, now)
         self._notify_update()
 
     def _apply_snapshot(
-        self, items: tuple[Item, ...], changed: int, now: float
+        self, items: tuple[Item, ...], changed: Revision, now: float
     ) -> None:
         """Process a full snapshot from a peer."""
-        self._replace_items(items, changed)
+        self._replace_items(items, changed, now)
         self._listener.handle_list(items, self._lost_at is not None, now)
         self._notify_update()
 
-    def _replace_items(self, items: tuple[Item, ...], revision: int) -> None:
-        """Replace all items, and append the differences to the history."""
+    def _replace_items(
+        self, items: tuple[Item, ...], revision: Revision, now: float
+    ) -> None:
+        """Replace all items, and append the differences to the history.
+
+        A history never spans two eras: a follower may know changes of the earlier
+        one that this entry has not seen, so it needs a full snapshot.
+        """
         before = self._items
         self._items = {item.name: item for item in items}
-        if self._known_revision < 0:
+        if revision.era != self._known_revision.era:
+            self._history.clear()
             self._history_from = self.changed = revision
+            if self._known_revision != NO_REVISION:
+                self._note_restore(revision, now)
             return
         for name, item in self._items.items():
             old = before.get(name)
@@ -436,7 +463,7 @@
             self._append_history(Change(before[name], True), revision)
 
     def _apply_changes(
-        self, changes: tuple[Change, ...], revision: int, now: float
+        self, changes: tuple[Change, ...], revision: Revision, now: float
     ) -> None:
         has_newer = False
         for change in changes:
@@ -456,20 +483,30 @@
         known = self._items.get(item.name)
         return known is None or item.revision >= known.revision
 
-    def _record_change(self, change: Change, revision: int) -> None:
+    def _record_change(self, change: Change, revision: Revision) -> None:
         if change.is_deleted:
             self._items.pop(change.item.name, None)
         else:
             self._items[change.item.name] = change.item
         self._append_history(change, revision)
 
-    def _append_history(self, change: Change, revision: int) -> None:
+    def _append_history(self, change: Change, revision: Revision) -> None:
         """Add a change to the history that followers are served from."""
         self.changed = revision
         self._history.append((revision, change))
         if len(self._history) > MAX_HISTORY_CHANGES:
             self._history_from, _ = self._history.pop(0)
 
+    def _note_restore(self, revision: Revision, now: float) -> None:
+        self._events.emit(
+            Event.STORE_RESTORED,
+            kind=self.kind,
+            revision=revision,
+            known=self._known_revision,
+            confirmed_s_ago=round(now - self.confirmed_at, 3),
+        )
+        self._listener.handle_store_restore(now)
+
     def _note_store_answer(self, now: float) -> None:
         if self._lost_at is not None:
             self._events.emit(
--- a/kumquatshift/direct/peer_updates.py
+++ b/kumquatshift/direct/peer_updates.py
@@ -16,7 +16,7 @@
 
 import xxhash
 
-from .calls import FeedStatus
+from .calls import FeedStatus, Revision
 from .members import Members
 
 # Answers up to this size (a few packets each) are not limited.
@@ -42,17 +42,25 @@
         self._members = members
 
     def freshest(self, now: float) -> Source | None:
-        """Return the peer with the most recently confirmed state, whatever its age."""
-        found = None
-        for address, status, at in self._statuses():
-            aged = status._replace(age_s=status.age_s + now - at)
-            if found is None or aged.age_s < found.status.age_s:
-                found = Source(address, aged)
-        return found
+        """Return the peer with the latest state, whatever its age.
 
-    def reader_to_follow(self, known: int, now: float) -> Source | None:
+        That is the most recently confirmed one of the latest era.
+        """
+        found = [
+            Source(address, status._replace(age_s=status.age_s + now - at))
+            for address, status, at in self._statuses()
+        ]
+        return max(
+            found,
+            key=lambda each: (each.status.revision.era, -each.status.age_s),
+            default=None,
+        )
+
+    def reader_to_follow(self, known: Revision, now: float) -> Source | None:
         """Return a fresh reader to follow, for an entry at revision ``known``.
 
+        Readers that have seen the latest era of the store are preferred, and none
+        of an earlier era than ``known`` is followed: what it confirms is over.
         Readers whose history reaches back to ``known`` are preferred: if all
         followers requested a full snapshot from a reader that has just started,
         its link would be saturated for a second.
@@ -60,24 +68,28 @@
         found = None
         for address, status, at in self._statuses():
             age_s = status.age_s + now - at
-            if not status.is_reader or age_s > self._fresh_s:
+            era = status.revision.era
+            if not status.is_reader or age_s > self._fresh_s or era < known.era:
                 continue
-            rank = status.since <= known, status.changed
+            rank = era, status.since <= known, status.changed
             if found is None or rank > found[0]:
                 found = rank, Source(address, status._replace(age_s=age_s))
         return found[1] if found is not None else None
 
-    def alternate(self, source: Source, known: int, attempt: int) -> Source:
+    def alternate(self, source: Source, known: Revision, attempt: int) -> Source:
         """Return a peer that can serve what ``source`` has.
 
+        In a new era every peer serves a full snapshot.
+
         Readers get an update first, but any peer that has it will do. The choice
         is hashed by follower and attempt to spread the load.
         """
         wanted = source.status.changed
+        in_new_era = wanted.era > known.era
         holders = [
             Source(address, status)
             for address, status, _ in self._statuses()
-            if status.changed >= wanted and status.since <= known
+            if status.changed >= wanted and (in_new_era or status.since <= known)
         ]
         me = self._members.me.name
         return min(
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -15,6 +15,7 @@
 from .targets import LiveTarget, Report, TargetTable
 
 if TYPE_CHECKING:
+    from .calls import Revision
     from .events import EventSink
 
 
@@ -36,7 +37,7 @@
         known = self._has_configuration and self._has_targets
         return known and self._has_evacuations
 
-    def put_configuration(self, cfg: Configuration, revision: int) -> None:
+    def put_configuration(self, cfg: Configuration, revision: Revision) -> None:
         """Activate a configuration if it is newer than the active one.
 
         ``revision`` is that of the store's object, for the log.
--- a/kumquatshift/platform/feed_listeners.py
+++ b/kumquatshift/platform/feed_listeners.py
@@ -46,6 +46,9 @@
     def handle_store_loss(self, now: float) -> None:
         """Do nothing: the last known state stays in effect."""
 
+    def handle_store_restore(self, now: float) -> None:
+        """Do nothing: an older version never replaces a newer one."""
+
     def _apply(self, item: Item) -> None:
         if item.name != objects.CONFIGURATION_NAME:
             return
@@ -85,6 +88,10 @@
         """Give live targets time to be listed again."""
         self._site.note_relisting(now)
 
+    def handle_store_restore(self, now: float) -> None:
+        """Give live targets time to report again."""
+        self._site.note_relisting(now)
+
     def _report(self, item: Item) -> Report | None:
         try:
             return objects.report_from(item.name, item.value)
@@ -114,3 +121,6 @@
 
     def handle_store_loss(self, now: float) -> None:
         """Do nothing: the last known state stays in effect."""
+
+    def handle_store_restore(self, now: float) -> None:
+        """Do nothing: the list tells which domains are evacuated."""
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -5,7 +5,7 @@
 import json
 import socket
 
-from ..direct.calls import Change, Changes, Item, Page
+from ..direct.calls import Change, Changes, Item, Page, Revision
 from ..direct.routes import Configuration, Route, ServiceLimits, Share
 from ..direct.targets import Report
 from .packets import encode_destination
@@ -31,8 +31,9 @@
     """Decode one page of a list; raises `UnreadableError`."""
     try:
         answer = json.loads(body)
-        items = tuple(_item(each) for each in answer["items"])
-        return Page(items, bool(answer.get("more")), int(answer["currentRev"]), era)
+        items = tuple(_item(each, era) for each in answer["items"])
+        revision = Revision(era, int(answer["currentRev"]))
+        return Page(items, bool(answer.get("more")), revision)
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise UnreadableError(f"invalid list response: {exc!r}") from exc
 
@@ -42,10 +43,10 @@
     try:
         answer = json.loads(body)
         changes = tuple(
-            Change(_item(each["object"]), bool(each["deleted"]))
+            Change(_item(each["object"], era), bool(each["deleted"]))
             for each in answer["events"]
         )
-        return Changes(changes, int(answer["currentRev"]), era)
+        return Changes(changes, Revision(era, int(answer["currentRev"])))
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         raise UnreadableError(f"invalid watch response: {exc!r}") from exc
 
@@ -98,9 +99,10 @@
         raise UnreadableError(f"invalid target {name!r}: name too long") from exc
 
 
-def _item(wire: dict) -> Item:
+def _item(wire: dict, era: int) -> Item:
     meta = wire["meta"]
-    return Item(_text(meta["name"]), int(meta["revision"]), wire.get("spec"))
+    revision = Revision(era, int(meta["revision"]))
+    return Item(_text(meta["name"]), revision, wire.get("spec"))
 
 
 def _route(wire: dict) -> Route:
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -174,7 +174,7 @@
     """Return the path and query of a call to the store."""
     path = f"/api/objects/{call.kind}"
     if isinstance(call, WatchCall):
-        return f"{path}?watch={call.revision}&waitMs={int(call.wait_s * 1000)}"
+        return f"{path}?watch={call.revision.number}&waitMs={int(call.wait_s * 1000)}"
     return f"{path}?after={_quote(call.after)}" if call.after else path
 
 
