--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -44,6 +44,8 @@
         self._warmup = warmup
         self._picks = 0
         self.evacuated: frozenset[str] = frozenset()
+        self.kept_evacuated: frozenset[str] = frozenset()
+        self._evacuated_kept_until = float("-inf")
         self.relisting_since = -RELIST_GRACE_S
 
     def pick(
@@ -112,6 +114,20 @@
             return False
         return target.last_answer_at < target.unlisted_at
 
+    def is_evacuated(self, domain: str, now: float) -> bool:
+        """Return whether a domain gets no new flows."""
+        is_kept = now < self._evacuated_kept_until
+        return domain in (self.kept_evacuated if is_kept else self.evacuated)
+
+    def keep_evacuated(self, now: float) -> None:
+        """Keep the domains evacuated that are so now, whatever a list says.
+
+        This lasts for `RELIST_GRACE_S`; single changes apply at once.
+        """
+        if now >= self._evacuated_kept_until:
+            self.kept_evacuated = self.evacuated
+        self._evacuated_kept_until = now + RELIST_GRACE_S
+
     def is_relisting(self, now: float) -> bool:
         """Return whether the list was unreachable until recently."""
         return now - self.relisting_since < RELIST_GRACE_S
@@ -126,7 +142,7 @@
         ]
 
     def _is_eligible(self, target: LiveTarget, now: float) -> bool:
-        if target.draining or target.domain in self.evacuated:
+        if target.draining or self.is_evacuated(target.domain, now):
             return False
         return self.is_present(target, now)
 
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from .events import Event
-from .placement import Placement
+from .placement import RELIST_GRACE_S, Placement
 from .routes import Configuration, RouteTable
 from .targets import LiveTarget, Report, TargetTable
 
@@ -30,6 +30,7 @@
         self._has_configuration = False
         self._has_targets = False
         self._has_evacuations = False
+        self._settled_at = float("-inf")
 
     @property
     def is_known(self) -> bool:
@@ -64,6 +65,8 @@
     def put_target(self, report: Report, now: float) -> None:
         """Add or update one target from its report."""
         known = self.targets.get(report.name)
+        if known is not None and now < self._settled_at and known.is_ahead_of(report):
+            return
         was_draining = known is not None and known.draining
         target = self.targets.put(report, now)
         if target is not known:
@@ -98,10 +101,12 @@
 
     def evacuate(self, domain: str) -> None:
         """Stop sending new flows to a domain."""
+        self.placement.kept_evacuated |= {domain}
         self.list_evacuations(self.placement.evacuated | {domain})
 
     def restore_domain(self, domain: str) -> None:
         """Resume sending new flows to a domain."""
+        self.placement.kept_evacuated -= {domain}
         self.list_evacuations(self.placement.evacuated - {domain})
 
     def note_relisting(self, now: float) -> None:
@@ -111,6 +116,22 @@
         """
         self.placement.relisting_since = now
 
+    def note_targets_restored(self, now: float) -> None:
+        """Record that the list of targets is from an older copy.
+
+        Targets may be missing from it, or listed with an older report, until they
+        have reported again.
+        """
+        self.note_relisting(now)
+        self._settled_at = now + RELIST_GRACE_S
+
+    def note_evacuations_restored(self, now: float) -> None:
+        """Record that the list of evacuated domains is from an older copy.
+
+        The domains evacuated until now stay so while operators write again.
+        """
+        self.placement.keep_evacuated(now)
+
     def _log_gone(self, target: LiveTarget, now: float) -> None:
         self._events.emit(
             Event.TARGET_GONE,
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -17,7 +17,8 @@
 
     ``incarnation`` differs for each start under the same name, ``key`` holds the
     bytes that address this target in a datagram, and ``warmup_left_s`` is its
-    remaining warm-up time. A draining target keeps its flows and gets no new
+    remaining warm-up time. ``sequence`` increases with each report of an
+    incarnation. A draining target keeps its flows and gets no new
     ones.
     """
 
@@ -30,6 +31,7 @@
     slots: int
     drains: bool = False
     warmup_left_s: float = 0.0
+    sequence: int = 0
 
 
 class LiveTarget:
@@ -66,6 +68,7 @@
         "suspected",
         "suspected_at",
         "probe_sent_at",
+        "sequence",
         "unlisted_at",
         "waiting",
     )
@@ -97,6 +100,7 @@
         self.domain = report.domain
         self.slots = report.slots
         self.draining = report.drains
+        self.sequence = report.sequence
         self.cold_until = now + report.warmup_left_s
         self.listed = True
         self.unlisted_at = now
@@ -115,6 +119,11 @@
             self.cookies[destination] = cookie
         return cookie
 
+    def is_ahead_of(self, report: Report) -> bool:
+        """Return whether more is known than a report from an older copy tells."""
+        known = self.incarnation, self.sequence
+        return known > (report.incarnation, report.sequence)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the target is still warming up after its start."""
         return now < self.cold_until
--- a/kumquatshift/platform/feed_listeners.py
+++ b/kumquatshift/platform/feed_listeners.py
@@ -90,7 +90,7 @@
 
     def handle_store_restore(self, now: float) -> None:
         """Give live targets time to report again."""
-        self._site.note_relisting(now)
+        self._site.note_targets_restored(now)
 
     def _report(self, item: Item) -> Report | None:
         try:
@@ -123,4 +123,5 @@
         """Do nothing: the last known state stays in effect."""
 
     def handle_store_restore(self, now: float) -> None:
-        """Do nothing: the list tells which domains are evacuated."""
+        """Give operators time to write again."""
+        self._site.note_evacuations_restored(now)
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -92,6 +92,7 @@
             slots=_within(spec["maxConcurrency"], 1, 1_000_000),
             drains=DRAINING_BY_STATE[spec["state"]],
             warmup_left_s=warmup_left_ms / 1000,
+            sequence=_within(spec.get("sequence", 0), 0, 1 << 63),
         )
     except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
         raise UnreadableError(f"invalid target {name!r}: {exc!r}") from exc
