--- a/kumquatshift/direct/routes.py
+++ b/kumquatshift/direct/routes.py
@@ -51,10 +51,15 @@
 
 
 class RouteTable:
-    """The active configuration; an older version never replaces a newer one."""
+    """The active configuration; an older version never replaces a newer one.
+
+    If the store lost a version before it was confirmed, operators may give out its
+    number again: of two with the same number the later one counts.
+    """
 
     def __init__(self):
         self.version = -1
+        self._active: Configuration | None = None
         self.idle_timeout_s = 60.0
         self._routes: dict[bytes, Route] = {}
         self._limits: dict[str, ServiceLimits] = {}
@@ -63,9 +68,10 @@
         return len(self._routes)
 
     def put(self, cfg: Configuration) -> bool:
-        """Activate a configuration; return False if it is not newer."""
-        if cfg.version <= self.version:
+        """Activate a configuration; return False if it is older or the same."""
+        if cfg.version < self.version or cfg == self._active:
             return False
+        self._active = cfg
         self.version = cfg.version
         self.idle_timeout_s = cfg.idle_timeout_s
         self._routes = {route.destination: route for route in cfg.routes}
--- a/tests/features/direct_restored_site.feature
+++ b/tests/features/direct_restored_site.feature
@@ -32,6 +32,7 @@
       | known                        | listed                       | after | state                       |
       | configuration 8 to tills     | configuration 7 to stock     | 0     | configuration 8 to tills    |
       | configuration 8 to tills     | configuration 7 to stock     | 9     | configuration 8 to tills    |
+      | configuration 8 to tills     | configuration 8 to stock     | 0     | configuration 8 to stock    |
       | configuration 8 to tills     | nothing                      | 9     | configuration 8 to tills    |
 
   Scenario Outline: A change after the restore applies at once
