--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -81,6 +81,10 @@
 # readers.
 RETRY_FOLLOWER_S = 1.2
 
+# How often a feed that follows peers, or waits for its retry, looks for its next call
+# if no heartbeat announces changes.
+FOLLOW_POLL_S = 0.25
+
 # Time that a follower needs to read the store itself once its peers' updates are
 # stale: one full list from a store of normal speed.
 SELF_READ_S = 0.6
@@ -184,6 +188,7 @@
         self._pages: list[Item] = []
         self._first_revision = NO_REVISION
         self._next_call_at = 0.0
+        self._retry_at = 0.0
         self._timeout_s = FIRST_TIMEOUT_S
         self._lost_at: float | None = None
         self._failed_at = 0.0
@@ -230,8 +235,17 @@
         """Return how long to wait before the next call."""
         return max(0.0, self._next_call_at - now)
 
+    def poll_s(self, now: float) -> float:
+        """Return how long to wait if there is no call to make now."""
+        retry_s = self._retry_at - now
+        return min(retry_s, FOLLOW_POLL_S) if retry_s > 0 else FOLLOW_POLL_S
+
     def next_call(self, now: float) -> ListCall | WatchCall | PeerUpdateCall | None:
-        """Return the call to make now, or None if a followed peer has no changes."""
+        """Return the call to make now.
+
+        None means that a followed peer has no changes, or that it is too early to
+        try the store again; until then peers are still listened to.
+        """
         uses_readers = self._members is not None and self._members.uses_readers()
         self._update_reader_role(
             uses_readers and self._members.is_reader(self.kind, self.reaches_store(now))
@@ -246,6 +260,8 @@
                 source = self._peers.reader_to_follow(self._known_revision, now)
                 if source is not None:
                     return self._follow_reader(source, now)
+        if now < self._retry_at:
+            return None
         if not self._is_listed:
             after = self._pages[-1].name if self._pages else ""
             return ListCall(self.kind, after, self._timeout_s)
@@ -367,6 +383,7 @@
         if failure == Failure.EXPIRED:
             self._events.emit(Event.STORE_HISTORY_GONE, kind=self.kind)
             return
+        self._retry_at = now + self._retry_delay_s(failure)
         if self._lost_at is None:
             self._lost_at = now
             self._events.emit(
@@ -377,14 +394,17 @@
                 confirmed_s_ago=round(now - self.confirmed_at, 3),
             )
         self.is_current = False
-        self._next_call_at = now + self._retry_delay_s(failure)
         if failure == Failure.TIMEOUT:
             increased_s = self._timeout_s * TIMEOUT_GROWTH
             self._timeout_s = min(MAX_TIMEOUT_S, increased_s)
 
     def _retry_delay_s(self, failure: str) -> float:
+        """Return the delay; that of followers is longer from the second failure on.
+
+        The first one may be that of a watch which has hung since the store was lost.
+        """
         uses_readers = self._members is not None and self._members.uses_readers()
-        if uses_readers and not self.is_reader:
+        if self._lost_at is not None and uses_readers and not self.is_reader:
             return RETRY_FOLLOWER_S
         return RETRY_OVERLOADED_S if failure == Failure.OVERLOADED else RETRY_S
 
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -23,10 +23,6 @@
 
     Decoded = TypeVar("Decoded")
 
-# How often a feed that follows peers is polled for its next call, in addition to
-# when a heartbeat announces changes.
-FOLLOW_POLL_S = 0.25
-
 # Latency samples of lists, kept until metrics are next collected.
 MAX_LATENCY_SAMPLES = 1000
 
@@ -76,14 +72,15 @@
 
     def _call(self) -> None:
         self._is_following = False
-        call = self._feed.next_call(self._reactor.seconds())
+        now = self._reactor.seconds()
+        call = self._feed.next_call(now)
         if call is None:
             self._is_following = True
-            self._schedule(FOLLOW_POLL_S)
+            self._schedule(self._feed.poll_s(now))
         elif isinstance(call, PeerUpdateCall):
             self._call_peer(call)
         else:
-            self._call_started_at = self._reactor.seconds()
+            self._call_started_at = now
             done = self._on_list if isinstance(call, ListCall) else self._on_watch
             self._store_connection.call(
                 "GET", request_path(call), b"", call.timeout_s, done
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -59,6 +59,20 @@
       | 2     | is silent | 4       |
       | 2     | refuses   | 3       |
 
+  Scenario Outline: A silent store does not leave followers deaf to their readers
+    Given a bound of <bound> s for changes and a stable window of <stable> s
+    When in domains of 7 entries the store is silent for <seconds> s, each in another phase of its watches
+    And in each domain an object changes 0.05 s later
+    Then every entry of each domain has it within <limit> s
+
+    Examples:
+      | bound | stable | seconds | limit |
+      | 3     | 4      | 2       | 3.95  |
+      | 3     | 4      | 3       | 3.95  |
+      | 5     | 5      | 2.5     | 4.95  |
+      | 5     | 5      | 3       | 4.95  |
+      | 5     | 5      | 4.5     | 4.95  |
+
   Scenario: Entries that start during an outage of the store learn from their peers
     Given a domain of 8 entries that has been running for 8 s
     When the store refuses from now on
--- a/tests/features/steps/direct_news_steps.py
+++ b/tests/features/steps/direct_news_steps.py
@@ -16,6 +16,11 @@
     context.excluded = []
 
 
+@given("a bound of {bound:g} s for changes and a stable window of {stable:g} s")
+def step_bounds(context, bound, stable):
+    context.news = FeedDomain(FeedTiming.from_bounds(stable, bound))
+
+
 @given("a domain of {count:d} entries that has been running for {seconds:g} s")
 def step_domain(context, count, seconds):
     context.news.add(count)
