--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -439,6 +439,7 @@
 
     def _call_peer(self, source: Source, since: Revision) -> PeerUpdateCall:
         self._updater = source.address
+        self._pages = []  # What is known may pass them before the rest is read.
         return PeerUpdateCall(self.kind, source.address, since, PEER_CALL_TIMEOUT_S)
 
     def _apply_list(
--- a/tests/features/direct_restore.feature
+++ b/tests/features/direct_restore.feature
@@ -64,3 +64,7 @@
     When 5 objects are created that a restored copy lacks and nobody writes again
     Then within 8 s every entry has the objects of the store
     And every entry learned of the restore
+
+  Scenario: After any series of restores and faults every entry knows what the store has
+    Then for any series of changes, restores and faults all entries agree with the store in time
+    And no entry's revision has gone back
--- a/tests/features/platform_store.feature
+++ b/tests/features/platform_store.feature
@@ -41,6 +41,25 @@
   Scenario: A change does not undo newer state from a later page
     Then a feed that lists in two pages keeps the newer state of an object
 
+  Scenario: A list that is half read is not continued after a peer's update
+    Then a feed that followed a peer between two pages lists from the start
+
+  Scenario: A list that spans a restore of the store is read again
+    Then a feed that meets a new era between two pages lists from the start
+
+  Scenario Outline: A site that read the store before it was restored catches up
+    When a site reads the store
+    Then within 1 s the site has 120 targets, version 1 and 1 evacuated domain
+    When the store is restored <times> times from a copy without its last 30 changes
+    And version 2 is written
+    Then the site has version 2 within 2 s of the end
+    And the site has kept all its targets meanwhile
+
+    Examples:
+      | times |
+      | 1     |
+      | 2     |
+
   Scenario Outline: A site whose calls fail makes few of them
     When a site reads the store, which <fault> from the start
     Then the site makes at most <calls> calls in 2 s
--- a/tests/features/steps/direct_restore_steps.py
+++ b/tests/features/steps/direct_restore_steps.py
@@ -1,6 +1,8 @@
 from behave import given, then, when
+from hypothesis import Phase, given as drawn, settings, strategies as st
 
 from tests.support.feed_domain import KIND
+from tests.support.restore_schedules import RestoreRun, schedules
 
 CHANGES_KNOWN_S = 1.5
 RUN_S = 0.3
@@ -104,3 +106,34 @@
 def step_restore_known(context):
     unaware = [n.me.name for n in context.news.nodes if not n.listener.restores]
     assert not unaware, unaware
+
+
+@then(
+    "for any series of changes, restores and faults all entries agree with the store"
+    " in time"
+)
+def step_any_series(context):
+    context.reverted = []
+
+    # Without shrinking, which would take minutes.
+    @settings(
+        max_examples=30,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[Phase.generate],
+    )
+    @drawn(st.sampled_from((2, 7, 12)), st.booleans(), st.integers(0, 9), schedules())
+    def check(count, breaks_watches, seed, schedule):
+        run = RestoreRun(count, breaks_watches, seed)
+        run.run(schedule)
+        run.settle()
+        context.reverted += run.reverted
+        assert not run.behind(), run.behind()
+
+    check()
+
+
+@then("no entry's revision has gone back")
+def step_not_reverted(context):
+    assert not context.reverted, context.reverted
--- a/tests/features/steps/platform_store_steps.py
+++ b/tests/features/steps/platform_store_steps.py
@@ -4,9 +4,22 @@
 from behave import given, then, when
 from twisted.internet import reactor
 
-from kumquatshift.direct.calls import Change, Changes, Item, Page, Revision
+from kumquatshift.direct.calls import (
+    Change,
+    Changes,
+    Failure,
+    FeedStatus,
+    Item,
+    ListCall,
+    Page,
+    PeerUpdate,
+    PeerUpdateCall,
+    Revision,
+)
 from kumquatshift.direct.events import Event
 from kumquatshift.direct.feed import Feed, FeedTiming
+from kumquatshift.direct.members import Member, Members, PeerHeartbeat
+from kumquatshift.direct.peer_updates import PeerSelector
 from kumquatshift.direct.placement import Placement
 from kumquatshift.direct.site import Site
 from kumquatshift.direct.warmup import Warmup, WarmupBounds
@@ -186,6 +199,79 @@
     assert listener.values == {"a": "a3", "b": "b12"}, listener.values
 
 
+class SilentListener:
+    def handle_list(self, items, after_loss, now):
+        pass
+
+    def handle_store_loss(self, now):
+        pass
+
+    def handle_store_restore(self, now):
+        pass
+
+
+@then("a feed that followed a peer between two pages lists from the start")
+def step_peer_between_pages(context):
+    at = partial(Revision, 1)
+    events = Recorder()
+    own, peers = Member("e9", "a", ("10.0.0.1", 9)), range(2, 8)
+    members = Members(own, (), events)
+    feed = Feed("kind", FeedTiming(5.0), SilentListener(), events)
+    feed.follow(members, PeerSelector("kind", 2.4, members))
+    feed.handle_page(Page((Item("a", at(3), "a3"),), False, at(10)), 0.0)
+    feed.handle_failure(Failure.EXPIRED, "status 410", 0.1)
+    feed.handle_page(Page((Item("a", at(3), "a3"),), True, at(11)), 0.2)
+    status = FeedStatus("kind", True, at(1), at(12), at(12), 0.0)
+    for number in peers:
+        address = ("10.0.0.1", number)
+        beat = (f"e{number}", "a", address, 1, False, True, (status,), (), ())
+        members.receive_heartbeat(PeerHeartbeat(*beat), 0.2)
+    assert isinstance(feed.next_call(0.3), PeerUpdateCall)
+    update = PeerUpdate(True, (Item("a", at(12), "a12"),), (), status)
+    feed.handle_peer_update(update, 0.3)
+    members.expire(9.0)
+    call = feed.next_call(9.0)
+    assert isinstance(call, ListCall) and not call.after, call
+
+
+@then("a feed that meets a new era between two pages lists from the start")
+def step_era_between_pages(context):
+    feed = Feed("kind", FeedTiming(5.0), SilentListener(), Recorder())
+    first = (Item("a", Revision(1, 3), "a"),)
+    feed.handle_page(Page(first, True, Revision(1, 10)), 0.0)
+    second = (Item("b", Revision(2, 4), "b"),)
+    feed.handle_page(Page(second, False, Revision(2, 6)), 0.1)
+    call = feed.next_call(0.1)
+    assert isinstance(call, ListCall) and not call.after, call
+    assert feed.status(0.1) is None
+
+
+@when(
+    "the store is restored {times:d} times from a copy without its last"
+    " {lost:d} changes"
+)
+def step_restored(context, times, lost):
+    def change(api):
+        for number in range(lost):
+            limits = {"idleTimeoutMs": 15000 + number}
+            spec = {**CONFIGURATION, "version": 1, "limits": limits}
+            api.put(objects.CONFIGURATIONS, "main", spec)
+
+    for _ in range(times):
+        copy = in_reactor(context.api.store.copy)
+        in_reactor(change, context.api)
+        time.sleep(1.0)
+        in_reactor(context.api.restore, copy)
+        time.sleep(0.2)
+    context.least = in_reactor(lambda: len(context.site.targets))
+
+
+@when("version {version:d} is written")
+def step_version_written(context, version):
+    spec = {**CONFIGURATION, "version": version}
+    in_reactor(context.api.put, objects.CONFIGURATIONS, "main", spec)
+
+
 @when("a site reads the store, which {fault} from the start")
 def step_read_faulty(context, fault):
     context.api.faults = StoreFaults(**vars(STORE_FAULTS[fault]))
