--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -21,6 +21,7 @@
 )
 from ..direct.failure_detector import Refutation, Suspect
 from ..direct.members import Member, PeerHeartbeat
+from ..eras import era_and_number, ordered
 from .epoll import Descriptor
 
 NEWS_PATH = b"/news"
@@ -34,11 +35,6 @@
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
-# A revision travels as one integer, with the era above this bit. Entries that know
-# no eras order such revisions correctly too.
-ERA_SHIFT = 48
-
-
 class UnreadableNewsError(ValueError):
     """The update from another entry could not be decoded."""
 
@@ -227,14 +223,14 @@
     packed = int(wire)
     if packed < 0:
         return NO_REVISION
-    era, number = divmod(packed, 1 << ERA_SHIFT)
-    return Revision(era, number)
+    return Revision(*era_and_number(packed))
 
 
 def _pack_revision(revision: Revision) -> int:
+    """Return a revision as one integer, which entries without eras order too."""
     if revision == NO_REVISION:
         return -1
-    return (revision.era << ERA_SHIFT) + revision.number
+    return ordered(*revision)
 
 
 def _pack_status(status: FeedStatus) -> tuple:
--- a/kumquatshift/adapters/platform.py
+++ b/kumquatshift/adapters/platform.py
@@ -12,13 +12,16 @@
 
 from ..codec import body_to_json, kind_of
 from ..engine.objects import Body, Kind
+from ..eras import era_and_number
 from ..errors import ErrorKind, Failure
 from ..logs import Part, logger_for
 from ..settings.common import PlatformSection
 from ..tls import platform_agent
 from .http import describe_failure, with_timeout
 from .platform_answers import (
+    ERA_HEADER,
     Reply,
+    era_of,
     parse,
     read_listing,
     read_object,
@@ -107,9 +110,10 @@
 
     def watch_objects(self, since: int, on_event, on_end) -> "HttpWatch":
         """Open a watch; `watcher.PlatformWatch` reopens it when it ends."""
-        url = f"{self._cfg.url}/v1/watch?since={since}"
+        era, number = era_and_number(since)
+        url = f"{self._cfg.url}/v1/watch?since={number}"
         fut = self._http.get(url, unbuffered=True, reactor=self._reactor)
-        return HttpWatch(fut, on_event, on_end)
+        return HttpWatch(fut, era, on_event, on_end)
 
     def list_vms(self) -> Deferred:
         """List the VMs of the platform."""
@@ -119,7 +123,9 @@
     def _call(self, method, path, version=None, operation=None, json=None):
         headers = {}
         if version is not None:
-            headers["if-match"] = str(version)
+            era, number = era_and_number(version)
+            headers["if-match"] = str(number)
+            headers[ERA_HEADER] = str(era)
         if operation is not None:
             headers["operation"] = operation
         body = {} if json is None else {"json": json}
@@ -163,7 +169,8 @@
 
 def _read_reply(response):
     fut = response.content()
-    return fut.addCallback(lambda data: Reply(response.code, parse(data)))
+    era = era_of(response)
+    return fut.addCallback(lambda data: Reply(response.code, parse(data), era))
 
 
 def _unreadable_reply(reason, kind):
--- a/kumquatshift/adapters/platform_answers.py
+++ b/kumquatshift/adapters/platform_answers.py
@@ -1,7 +1,7 @@
 """Reads the replies of the platform's object API."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns import result
 from returns.pipeline import is_successful
@@ -9,19 +9,33 @@
 
 from ..codec import object_from_json
 from ..engine.objects import Kind, Versioned
+from ..eras import ordered
 from ..errors import ErrorKind, Failure
 from ..logs import Part, logger_for
 from ..platform_port import Conflict, Listing, Vm, VmState
 
+# Rises by one each time that the platform comes back from an older copy.
+ERA_HEADER = "store-era"
+
 log = logger_for(Part.PLATFORM)
 
 
 @dataclass(frozen=True)
 class Reply:
-    """The status code and the JSON value of one reply."""
+    """The status code, the JSON value and the platform's era of one reply."""
 
     code: int
     value: object
+    era: int = 0
+
+
+def era_of(response) -> int:
+    """Return the platform's era from the headers of an answer; 0 without one."""
+    value = response.headers.getRawHeaders(ERA_HEADER, ["0"])[0]
+    if not value.isdigit():
+        log.warning("Ignored an invalid era of the platform: {!r}.", value)
+        return 0
+    return int(value)
 
 
 def parse(data: bytes) -> object:
@@ -40,9 +54,18 @@
     )
 
 
-def decode_or_skip(value: object) -> Versioned | None:
+def decode_object(value: object, era: int) -> Result[Versioned, Failure]:
+    """Decode an object of an era; its versions stay in order over all eras."""
+    return object_from_json(value).map(
+        lambda obj: replace(
+            obj, version=ordered(era, obj.version), created=ordered(era, obj.created)
+        )
+    )
+
+
+def decode_or_skip(value: object, era: int) -> Versioned | None:
     """Return an object; log a warning and return None if it is invalid."""
-    obj = object_from_json(value)
+    obj = decode_object(value, era)
     if is_successful(obj):
         return obj.unwrap()
     log.warning("Skipped an invalid object: {}.", obj.failure().message)
@@ -56,25 +79,26 @@
         return result.Failure(_unexpected_reply(reply))
     items, skipped = [], []
     for item in value.get("items", []):
-        obj = decode_or_skip(item)
+        obj = decode_or_skip(item, reply.era)
         if obj is None:
             skipped.append((item.get("kind"), item.get("name")))
         else:
             items.append(obj)
-    return result.Success(Listing(value["version"], tuple(items), tuple(skipped)))
+    version = ordered(reply.era, value["version"])
+    return result.Success(Listing(version, tuple(items), tuple(skipped)))
 
 
 def read_object(reply: Reply, kind: Kind, name: str) -> Result[Versioned, Failure]:
     """Return one object, or its tombstone from a 404 reply."""
     if reply.code == 200:
-        return object_from_json(reply.value).alt(_unreadable)
+        return decode_object(reply.value, reply.era).alt(_unreadable)
     if reply.code == 404:
         return _tombstone_or_not_found(reply, kind, name)
     return result.Failure(_unexpected_reply(reply))
 
 
 def _tombstone_or_not_found(reply, kind, name):
-    obj = object_from_json(reply.value)
+    obj = decode_object(reply.value, reply.era)
     if is_successful(obj):
         return obj
     text = f"{kind}/{name} does not exist"
@@ -94,7 +118,7 @@
         return result.Failure(_conflict(reply, kind, name, version))
     if 400 <= reply.code < 500:
         return result.Failure(_unexpected_reply(reply))
-    written = object_from_json(reply.value)
+    written = decode_object(reply.value, reply.era)
     if reply.code == 200 and is_successful(written):
         return written
     text = f"the platform answered the write with {reply.code}: outcome unknown"
@@ -102,7 +126,7 @@
 
 
 def _conflict(reply, kind, name, version):
-    obj = object_from_json(reply.value)
+    obj = decode_object(reply.value, reply.era)
     current = obj.unwrap() if is_successful(obj) else None
     live = current is not None and current.body is not None
     found = f"version {current.version}" if live else "nothing"
--- a/kumquatshift/adapters/platform_stream.py
+++ b/kumquatshift/adapters/platform_stream.py
@@ -5,25 +5,30 @@
 from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineOnlyReceiver
 
+from ..eras import ordered
 from ..errors import ErrorKind, Failure
 from ..platform_port import Expired, Progress
 from .http import describe_failure
-from .platform_answers import decode_or_skip
+from .platform_answers import decode_or_skip, era_of
 
 MAX_LINE_BYTES = 2 * 1024 * 1024
 
 
 class HttpWatch(LineOnlyReceiver):
-    """One open watch; each line of the response is a JSON value."""
+    """One open watch from a version of ``era``; each line is a JSON value.
+
+    If the platform is in another era, its changes do not follow on that version.
+    """
 
     delimiter = b"\n"
     MAX_LENGTH = MAX_LINE_BYTES
 
-    def __init__(self, fut, on_event, on_end):
+    def __init__(self, fut, era, on_event, on_end):
         self._fut = fut
         self._on_event = on_event
         self._on_end = on_end
         self._stopped = False
+        self._era = era
         fut.addCallbacks(self._on_response, self._on_request_failed)
 
     def stop(self):
@@ -43,7 +48,7 @@
             self._end(Failure(ErrorKind.UNAVAILABLE, "a line of the watch is not JSON"))
             self.transport.loseConnection()
             return
-        event = _parse_event(value)
+        event = _parse_event(value, self._era)
         if event is not None:
             self._on_event(event)
 
@@ -58,8 +63,11 @@
     def _on_response(self, response):
         if self._stopped:
             response.deliverBody(_Abort())
-        elif response.code == 200:
+        elif response.code == 200 and era_of(response) == self._era:
             response.deliverBody(self)
+        elif response.code == 200:
+            response.deliverBody(_Abort())
+            self._end(Expired(ErrorKind.NOT_FOUND, "the platform has been restored"))
         else:
             response.deliverBody(_Abort())
             self._end(_watch_refused(response.code))
@@ -94,7 +102,8 @@
     )
 
 
-def _parse_event(value):
+def _parse_event(value, era):
     if isinstance(value, dict) and set(value) == {"version"}:
-        return Progress(value["version"]) if isinstance(value["version"], int) else None
-    return decode_or_skip(value)
+        version = value["version"]
+        return Progress(ordered(era, version)) if isinstance(version, int) else None
+    return decode_or_skip(value, era)
--- a/kumquatshift/adapters/watcher.py
+++ b/kumquatshift/adapters/watcher.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import LoopingCall
 
 from ..engine.objects import Versioned
+from ..eras import era_and_number
 from ..errors import ErrorKind, Failure
 from ..logs import Part, logger_for
 from ..platform_port import Expired, Listing, Platform, Progress, Vm
@@ -17,6 +18,10 @@
 BACKOFF_MAX_S = 2.0
 VM_POLL_S = 5.0
 
+# After the platform came back from an older copy, operators have this long to write
+# again what it lacks.
+RESTORE_GRACE_S = 2.3
+
 log = logger_for(Part.PLATFORM)
 
 
@@ -45,7 +50,9 @@
     for 10 s is closed; then, as after `Expired`, it lists again, so that changes
     arrive even while every watch hangs.
     An object of ``known`` that is missing from a list is reported as deleted only
-    if the list is newer than the object: a stale list deletes nothing. Changes
+    if the list is newer than the object: a stale list deletes nothing. The first
+    list after the platform came back from an older copy is not reported but read
+    again after `RESTORE_GRACE_S`. Changes
     may be reported twice and out of order; the receiver keeps the highest
     version of each object.
     """
@@ -69,6 +76,7 @@
         self._watch = None
         self._timer = None
         self._failing = False
+        self._awaited_era = 0
 
     @property
     def held(self) -> bool:
@@ -110,6 +118,9 @@
             self._schedule_retry(answer.failure())
             return
         listing = answer.unwrap()
+        if self._is_restored(listing):
+            self._set_timer(RESTORE_GRACE_S, self._open)
+            return
         for obj in listing.items:
             self._on_object(obj)
         for obj in self._missing_tombstones(listing):
@@ -121,6 +132,22 @@
         self._pending_list = None
         reason.trap(CancelledError)
 
+    def _is_restored(self, listing: Listing) -> bool:
+        """Return whether this is the first list of an era, and objects are known."""
+        era, number = era_and_number(listing.version)
+        known = max((obj.version for obj in self._known_objects()), default=None)
+        if known is None or era <= era_and_number(known)[0] or era == self._awaited_era:
+            return False
+        self._awaited_era = era
+        log.warning(
+            "The platform came back from a copy of version {}, in era {}; keeping what"
+            " is known for {:g} s.",
+            number,
+            era,
+            RESTORE_GRACE_S,
+        )
+        return True
+
     def _missing_tombstones(self, listing: Listing):
         """Return tombstones for known objects that are missing from a newer list."""
         listed = {(obj.kind, obj.name) for obj in listing.items}
--- a/kumquatshift/standins/platform.py
+++ b/kumquatshift/standins/platform.py
@@ -25,6 +25,9 @@
 
 MAX_BODY_BYTES = 1024 * 1024
 
+# Rises by one each time that the store comes back from an older copy.
+ERA_HEADER = "store-era"
+
 log = logger_for(Part.STANDIN)
 
 
@@ -45,6 +48,7 @@
 
     def render(self, request):
         """Route a request; faults apply to paths under ``/v1`` only."""
+        self._set_era(request)
         path = [part.decode() for part in request.postpath if part]
         if path[:1] != ["v1"]:
             return self._render_admin(request, path)
@@ -59,9 +63,20 @@
             return NOT_DONE_YET
         return self._render_api(request, path)
 
+    def _set_era(self, request):
+        request.setHeader(ERA_HEADER, str(self.store.era))
+
+    def restore(self, copy):
+        """Return to a copy of the store, and abort the watches."""
+        self.store.restore(copy)
+        for watch in list(self.watches):
+            watch.abort()
+        log.info("Restored version {} from a copy.", copy.version)
+
     def _finish_late(self, connection, request, path):
         if not connection.connected:
             return
+        self._set_era(request)
         answer = self._render_api(request, path)
         if answer is not NOT_DONE_YET:
             request.write(answer)
@@ -123,6 +138,8 @@
         expected = _expected_version(request)
         if request.method == b"PUT":
             value = _parse_object(request, key)
+        if expected and _expected_era(request) != self.store.era:
+            raise Refused(409, self.store.objects.get(key) or NO_OBJECT)
         if self.faults.lose_requests:
             self._decrement_fault("lose_requests")
             abort(request)
@@ -279,6 +296,14 @@
     return version
 
 
+def _expected_era(request):
+    """Return the era in which the caller read the version, 0 if it names none."""
+    try:
+        return int(request.getHeader(ERA_HEADER) or 0)
+    except ValueError as exc:
+        raise ValueError("Store-Era: allowed: an era") from exc
+
+
 def _parse(request):
     data = request.content.read(MAX_BODY_BYTES + 1)
     if len(data) > MAX_BODY_BYTES:
--- a/kumquatshift/standins/platform_store.py
+++ b/kumquatshift/standins/platform_store.py
@@ -15,15 +15,39 @@
         self.answer = answer
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of a store at one moment, from which it can be restored."""
+
+    version: int
+    objects: Mapping
+    changes: list
+
+
 @dataclass
 class Store:
-    """Objects, the version counter that they share, and their change log."""
+    """Objects, the version counter that they share, and their change log.
+
+    ``era`` rises each time that the store is restored from a copy.
+    """
 
     history: int = 10_000
     version: int = 0
+    era: int = 0
     objects: dict = field(default_factory=dict)
     changes: list = field(default_factory=list)
 
+    def copy(self):
+        """Return a copy of the current state."""
+        return StoreCopy(self.version, dict(self.objects), list(self.changes))
+
+    def restore(self, copy):
+        """Return to the state of a copy; versions since then are given out again."""
+        self.era += 1
+        self.version = copy.version
+        self.objects = dict(copy.objects)
+        self.changes = list(copy.changes)
+
     def put(self, key, expected, operation, body):
         """Write one object if its version is ``expected`` (0: does not exist)."""
         current = self.live(key)
@@ -55,6 +79,8 @@
         """Return the changes since a version; raise `Refused` if it is too old."""
         if version < self.version - self.history:
             raise Refused(410, {"error": f"version {version} is too old"})
+        if version > self.version:
+            raise Refused(410, {"error": f"version {version} was lost"})
         return [obj for obj in self.changes if obj["version"] > version]
 
     def _check_version(self, key, expected):
