--- a/kumquatshift/adapters/epoll.py
+++ b/kumquatshift/adapters/epoll.py
@@ -74,6 +74,14 @@
         self._order = 0
         self._is_running = False
 
+    @staticmethod
+    def suspended_s() -> float:
+        """Return for how many seconds the machine was suspended since its boot.
+
+        `seconds` leaves this time out.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
     def callLater(self, delay: float, call: Callable, *args) -> DelayedCall:  # noqa: N802
         """Call ``call(*args)`` once, ``delay`` seconds from now."""
         self._order += 1
--- a/kumquatshift/adapters/http_client.py
+++ b/kumquatshift/adapters/http_client.py
@@ -36,7 +36,7 @@
 
     status: int
     body: bytes
-    headers: dict[bytes, bytes] = {}  # noqa: RUF012 (never changed)
+    headers: dict[bytes, bytes]
 
 
 class CallFailure(NamedTuple):
--- a/kumquatshift/adapters/peer_service.py
+++ b/kumquatshift/adapters/peer_service.py
@@ -29,6 +29,8 @@
 # Changes that occur within this time are announced in one heartbeat.
 COALESCE_S = 0.01
 
+# Shorter suspensions do not matter to the age of updates.
+MIN_SUSPENSION_S = 0.05
 
 if TYPE_CHECKING:
     from typing import Protocol
@@ -63,6 +65,7 @@
         self._readers: dict[str, FeedReader] = {}
         self._codec = PeerUpdateCodec()
         self._started_at = reactor.seconds()
+        self._suspended_s = reactor.suspended_s()
         self._reactor = reactor
         self._members = members
         self._failure_detector = failure_detector
@@ -140,7 +143,19 @@
         wait_s = READER_HEARTBEAT_INTERVAL_S if is_reader_here else HEARTBEAT_INTERVAL_S
         self._heartbeat_timer = self._reactor.callLater(wait_s, self._send_heartbeat)
 
+    def _check_suspension(self) -> None:
+        """Tell the feeds if the machine was suspended since the last check.
+
+        Without it, peers would go on following a reader whose updates are old.
+        """
+        gap_s = self._reactor.suspended_s() - self._suspended_s
+        if gap_s > MIN_SUSPENSION_S:
+            self._suspended_s += gap_s
+            for feed in self._feeds.values():
+                feed.note_suspension(gap_s)
+
     def _build_heartbeat(self, now: float) -> PeerHeartbeat:
+        self._check_suspension()
         statuses = [feed.status(now) for feed in self._feeds.values()]
         me = self._members.me
         return PeerHeartbeat(
@@ -199,6 +214,7 @@
             kind, since = self._codec.parse_query(query)
         except ValueError:
             return PageResponse(404)
+        self._check_suspension()
         now = self._reactor.seconds()
         feed = self._feeds.get(kind)
         update = feed and feed.updates_since(since, now)
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -216,6 +216,13 @@
             self.kind, self.is_reader, since, self.changed, self._known_revision, age_s
         )
 
+    def note_suspension(self, seconds: float) -> None:
+        """Record that the machine was suspended, which its steady clock leaves out."""
+        self.confirmed_at -= seconds
+        self._events.emit(
+            Event.SUSPENDED, kind=self.kind, suspended_s=round(seconds, 3)
+        )
+
     def lacks(self, status: FeedStatus) -> bool:
         """Return whether a peer has changes that are not known here."""
         return status.changed > self._known_revision
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -73,6 +73,24 @@
       | 5     | 5      | 3       | 4.95  |
       | 5     | 5      | 4.5     | 4.95  |
 
+  Scenario Outline: Readers that were suspended do not pass on old state as fresh
+    Given a bound of <bound> s for changes and a stable window of <stable> s
+    When in domains of 12 entries both readers are suspended for <seconds> s, each in another phase of its watches
+    And each domain has had a change since they were suspended
+    Then every entry that was not suspended has it within <limit> s of the change
+
+    Examples:
+      | bound | stable | seconds | limit |
+      | 3     | 4      | 1       | 3.0   |
+      | 3     | 4      | 2       | 3.0   |
+      | 5     | 5      | 1       | 5.0   |
+      | 5     | 5      | 2       | 5.0   |
+      | 5     | 5      | 3       | 5.0   |
+
+  Scenario: A heartbeat after a suspension tells the true age of updates
+    Given an entry that has read the store 0.2 s ago and then is suspended for 6 s
+    Then its next heartbeat tells an age of 6.2 s
+
   Scenario: Entries that start during an outage of the store learn from their peers
     Given a domain of 8 entries that has been running for 8 s
     When the store refuses from now on
--- a/tests/features/steps/direct_news_steps.py
+++ b/tests/features/steps/direct_news_steps.py
@@ -1,6 +1,14 @@
-from behave import given, then, when
+from unittest import mock
 
-from kumquatshift.direct.feed import FeedTiming
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from kumquatshift.adapters.peer_service import PeerService
+from kumquatshift.direct.calls import Page, Revision
+from kumquatshift.direct.feed import Feed, FeedTiming
+from kumquatshift.direct.lifecycle import Lifecycle
+from kumquatshift.direct.members import Member, Members
+from tests.support.direct_site import Recorder
 from tests.support.feed_domain import KIND, FeedDomain
 
 STABLE_S = 4.0
@@ -144,6 +152,70 @@
         context.domains.append(domain)
 
 
+@when(
+    "in domains of {count:d} entries both readers are suspended for {seconds:g} s, each"
+    " in another phase of its watches"
+)
+def step_suspended(context, count, seconds):
+    context.domains, context.suspended = [], []
+    for phase in range(PHASES):
+        domain = FeedDomain(context.news.timing, seed=phase)
+        domain.store.put(KIND, "o7", 0)
+        domain.add(count)
+        domain.run(6 + phase * PHASE_S)
+        readers = domain.readers()
+        for node in readers:
+            node.suspend()
+        domain.store.put(KIND, "o7", 777)
+        domain.run(seconds)
+        for node in readers:
+            node.resume()
+        context.suspended += readers
+        context.domains.append(domain)
+    context.suspended_s = seconds
+
+
+@when("each domain has had a change since they were suspended")
+def step_had_change(context):
+    assert all(domain.values()["o7"] == 777 for domain in context.domains)
+
+
+@then("every entry that was not suspended has it within {limit:g} s of the change")
+def step_undisturbed_have(context, limit):
+    left_s = limit - context.suspended_s
+    for domain in context.domains:
+        nodes = [node for node in domain.nodes if node not in context.suspended]
+        domain.run_until_known("o7", 777, nodes, left_s)
+
+
+@given(
+    "an entry that has read the store {age:g} s ago and then is suspended for"
+    " {seconds:g} s"
+)
+def step_entry_suspended(context, age, seconds):
+    clock = Clock()
+    clock.suspended_s = lambda: context.machine_suspended_s
+    context.machine_suspended_s = 100.0
+    me = Member("e1", "a", ("10.0.0.1", 1))
+    events = Recorder()
+    members = Members(me, (), events)
+    feed = Feed(KIND, FeedTiming(3.0), mock.Mock(), events)
+    feed.handle_page(Page((), False, Revision(1, 5)), clock.seconds())
+    detector = mock.Mock(suspects=lambda now: (), refutations=lambda now: ())
+    context.service = PeerService(
+        clock, members, detector, {KIND: feed}, mock.Mock(), Lifecycle(6.0), mock.Mock()
+    )
+    clock.advance(age)
+    context.machine_suspended_s += seconds
+    context.clock = clock
+
+
+@then("its next heartbeat tells an age of {age:g} s")
+def step_heartbeat_age(context, age):
+    heartbeat = context.service._build_heartbeat(context.clock.seconds())
+    assert [status.age_s for status in heartbeat.statuses] == [age]
+
+
 @when("in each domain an object changes {after:g} s later")
 def step_each_changes(context, after):
     for domain in context.domains:
