--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -422,6 +422,7 @@
             self._events.emit(event, kind=self.kind)
 
     def _follow_reader(self, source: Source, now: float) -> PeerUpdateCall | None:
+        self._pages = []  # What is known may pass them before the rest is read.
         status = source.status
         if source.address != self._followed:
             self._followed = source.address
@@ -446,7 +447,6 @@
 
     def _call_peer(self, source: Source, since: Revision) -> PeerUpdateCall:
         self._updater = source.address
-        self._pages = []  # What is known may pass them before the rest is read.
         return PeerUpdateCall(self.kind, source.address, since, PEER_CALL_TIMEOUT_S)
 
     def _apply_list(
