--- a/kumquatshift/adapters/platform_answers.py
+++ b/kumquatshift/adapters/platform_answers.py
@@ -1,6 +1,7 @@
 """Reads the replies of the platform's object API."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from returns import result
@@ -55,14 +56,24 @@
 
 
 def decode_object(value: object, era: int) -> Result[Versioned, Failure]:
-    """Decode an object of an era; its versions stay in order over all eras."""
+    """Decode an object of an era; its versions stay in order over all eras.
+
+    It keeps the era of its creation, since flows belong to one creation of a service.
+    """
     return object_from_json(value).map(
         lambda obj: replace(
-            obj, version=ordered(era, obj.version), created=ordered(era, obj.created)
+            obj,
+            version=ordered(era, obj.version),
+            created=ordered(_era_of_creation(value), obj.created),
         )
     )
 
 
+def _era_of_creation(value: Mapping) -> int:
+    era = value.get("created_era", 0)
+    return era if isinstance(era, int) and era >= 0 else 0
+
+
 def decode_or_skip(value: object, era: int) -> Versioned | None:
     """Return an object; log a warning and return None if it is invalid."""
     obj = decode_object(value, era)
--- a/kumquatshift/standins/platform_store.py
+++ b/kumquatshift/standins/platform_store.py
@@ -52,8 +52,11 @@
         """Write one object if its version is ``expected`` (0: does not exist)."""
         current = self.live(key)
         self._check_version(key, expected)
-        created = current["created"] if current else self.version + 1
-        return self._append(key, created, operation, False, body)
+        if current is None:
+            creation = {"created": self.version + 1, "created_era": self.era}
+        else:
+            creation = _creation(current)
+        return self._append(key, creation, operation, False, body)
 
     def delete(self, key, expected, operation):
         """Delete one object if its version is ``expected``."""
@@ -61,7 +64,7 @@
         if current is None:
             raise Refused(404, self.objects.get(key) or NO_OBJECT)
         self._check_version(key, expected)
-        return self._append(key, current["created"], operation, True, None)
+        return self._append(key, _creation(current), operation, True, None)
 
     def live(self, key, version=None):
         """Return the object as of a version, or None if it did not exist."""
@@ -89,14 +92,14 @@
         if found != expected:
             raise Refused(409, self.objects.get(key) or NO_OBJECT)
 
-    def _append(self, key, created, operation, deleted, body):
+    def _append(self, key, creation, operation, deleted, body):
         self.version += 1
         kind, name = key
         obj = {
             "kind": kind,
             "name": name,
             "version": self.version,
-            "created": created,
+            **creation,
             "operation": operation,
             "deleted": deleted,
             "body": body,
@@ -104,3 +107,7 @@
         self.objects[key] = obj
         self.changes.append(obj)
         return obj
+
+
+def _creation(obj):
+    return {name: obj[name] for name in ("created", "created_era")}
--- a/tests/features/platform_restore.feature
+++ b/tests/features/platform_restore.feature
@@ -18,6 +18,19 @@
     When the platform is restored from the copy
     Then within 5 s the entry has profile "a" as of write 1
 
+  Scenario: An object that outlives a restore stays the same one
+    Given an entry that follows the platform
+    When the platform is restored from the copy
+    Then within 5 s the entry has profile "a" as of write 1
+    And the entry's profile "a" is of the same creation as before
+
+  Scenario: An object that is made again in a new era is another one
+    Given an entry that follows the platform
+    When the platform is restored from the copy
+    And profile "a" is removed and made again
+    Then within 5 s the entry has profile "a" as of write 7
+    And the entry's profile "a" is of another creation than before
+
   Scenario: A version that was given out again is not taken for the lost one
     When the platform is restored from the copy, and 5 other writes are made
     Then a write based on the lost version is refused as a conflict
--- a/tests/features/steps/platform_restore_steps.py
+++ b/tests/features/steps/platform_restore_steps.py
@@ -50,6 +50,7 @@
     watch = in_reactor(start)
     context.add_cleanup(in_reactor, watch.hold, False)
     wait_for_write(context, 4, 2.0)
+    context.creation = config.get(Kind.PROFILE, "a").created
 
 
 def has_write(context, number):
@@ -78,6 +79,27 @@
         context.site.store.put(KEY, number + 1, "", body_of_write(50 + number))
 
 
+@when('profile "a" is removed and made again')
+def step_made_again(context):
+    def make():
+        api = context.site.server.api
+        api.store.delete(KEY, api.store.live(KEY)["version"], "")
+        api.store.put(KEY, 0, "", body_of_write(7))
+        api._publish()
+
+    in_reactor(make)
+
+
+@then('the entry\'s profile "a" is of the same creation as before')
+def step_same_creation(context):
+    assert context.entry_config.get(Kind.PROFILE, "a").created == context.creation
+
+
+@then('the entry\'s profile "a" is of another creation than before')
+def step_another_creation(context):
+    assert context.entry_config.get(Kind.PROFILE, "a").created > context.creation
+
+
 @then('{after:g} s later the entry has profile "a" as of write {number:d}')
 def step_kept(context, after, number):
     time.sleep(after)
