--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -177,6 +177,7 @@
         self._members: Members | None = None
         self._peers: PeerSelector | None = None
         self.is_reader = False
+        # For the log: the reader that is followed, and the peer called for an update.
         self._followed: tuple[str, int] | None = None
         self._updater: tuple[str, int] | None = None
         self._is_listed = False
@@ -309,6 +310,7 @@
         """Process the result of a watch."""
         self._is_watching = False
         if changes.revision.era != self._known_revision.era:
+            # Its numbers do not follow on the known ones, even if nothing is missing.
             self._is_listed = False
             return
         if changes.changes:
