--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -54,7 +54,8 @@
 def era_from(headers: dict[bytes, bytes]) -> int:
     """Return the store's era from the headers of an answer.
 
-    Raises `UnreadableError` if the header holds no number. A store that never came back from a copy may leave the header out.
+    Raises `UnreadableError` if the header holds no number. A store that never came
+    back from a copy may leave the header out.
     """
     value = headers.get(ERA_HEADER, b"0")
     if not value.isdigit():
