--- a/tests/features/admin.feature
+++ b/tests/features/admin.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: Every process serves its state on its admin port
 
   Guards against wrong status codes, against failing pages that show internals or
--- a/tests/features/bench.feature
+++ b/tests/features/bench.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: The load tool reports every broken rule, and no false ones
 
   Guards against a load run that passes although requests were lost, run twice,
--- a/tests/features/config.feature
+++ b/tests/features/config.feature
@@ -1,3 +1,4 @@
+@long
 Feature: A configuration change takes effect at every entry within 3 s, and stays
 
   Guards against entries that miss a change or return to an older version of an
--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Control traffic stays within a few kilobytes a second
 
   Guards against messages between entries, or watches on the platform, that grow
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -1,3 +1,4 @@
+@real-time @long
 Feature: Operators control a site with kumquat-ctl
 
   Guards against commands that are taken for other commands, files that are applied
--- a/tests/features/direct_admission.feature
+++ b/tests/features/direct_admission.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Under overload, requests that cannot be answered in time are refused at once
 
   Guards against queues that make every request late, against refusals while targets
--- a/tests/features/direct_news.feature
+++ b/tests/features/direct_news.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Two readers in each domain pass updates of the store to their peers
 
   Guards against a load on the store that grows with the number of entries, and
--- a/tests/features/direct_placement.feature
+++ b/tests/features/direct_placement.feature
@@ -1,3 +1,4 @@
+@long
 Feature: New flows are placed on the targets that can serve them
 
   Guards against new flows on targets that are evacuated, draining, gone, full or
--- a/tests/features/direct_restore.feature
+++ b/tests/features/direct_restore.feature
@@ -1,3 +1,4 @@
+@long
 Feature: A store that comes back from an older copy misleads no entry
 
   Guards against changes that are missed, late or taken back after the store came back
--- a/tests/features/domains.feature
+++ b/tests/features/domains.feature
@@ -1,3 +1,4 @@
+@long
 Feature: A failure domain taken out gets no packets, and the rest go on
 
   Guards against packets that still reach a domain after operators took it out,
--- a/tests/features/entry.feature
+++ b/tests/features/entry.feature
@@ -1,3 +1,4 @@
+@real-time @long
 Feature: kumquat-entry starts, exits and drops bad datagrams as an operator expects
 
   Guards against an entry that keeps running after a failed start, ignores SIGTERM or
--- a/tests/features/eventlog.feature
+++ b/tests/features/eventlog.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: Events are logged with bounded cost, and never delay a packet
 
   Guards against a flood of one event that hides the others, and against a log
--- a/tests/features/fabric.feature
+++ b/tests/features/fabric.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: The simulated fabric sends any packet to any ready entry
 
   Guards against a simulation that is easier on entries than the real fabric: damaged
--- a/tests/features/flows.feature
+++ b/tests/features/flows.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Flows keep their targets while entries fail, leave and join
 
   Guards against flows that break because the entry that held their records is
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Entries that disagree about membership break no flow
 
   Guards against flows that move or break because entries hold different views of
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: The platform's object API and its client agree under faults
 
   Guards against a platform stand-in that departs from the object API, and against a
--- a/tests/features/platform_entry.feature
+++ b/tests/features/platform_entry.feature
@@ -1,3 +1,4 @@
+@real-time @long
 Feature: An entry process works with the users' platform
 
   Guards against an entry that says it is ready too early or stays unready, loses packets
--- a/tests/features/platform_restore.feature
+++ b/tests/features/platform_restore.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: A platform that comes back from an older copy takes no change back
 
   Guards against entries that miss changes because versions are given out again, against
--- a/tests/features/platform_store.feature
+++ b/tests/features/platform_store.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: The site's state is read from the store despite the store's faults
 
   Guards against a site that loses or misses state when the store refuses, delays,
--- a/tests/features/requests.feature
+++ b/tests/features/requests.feature
@@ -1,3 +1,4 @@
+@long
 Feature: A non-idempotent request runs at most once
 
   Guards against a non-idempotent request that runs twice, is reported as not run
--- a/tests/features/secure.feature
+++ b/tests/features/secure.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: Entries with keys and certificates work together as processes
 
   Guards against entries that cannot exchange configuration over mutual TLS, and against
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -1,3 +1,4 @@
+@real-time @long
 Feature: Entries keep their guarantees under a series of faults
 
   Guards against guarantees that hold under single faults but not under a series of them.
--- a/tests/features/target.feature
+++ b/tests/features/target.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: A target stand-in accepts little load when cold and refuses the rest
 
   Guards against tests and benches that pass only because the stand-in is kinder than a
--- a/tests/features/tls.feature
+++ b/tests/features/tls.feature
@@ -1,3 +1,4 @@
+@real-time
 Feature: Processes authenticate each other with certificates
 
   Guards against a process that starts with unusable TLS files, and against connections
