--- a/kumquatshift/direct/flows.py
+++ b/kumquatshift/direct/flows.py
@@ -70,8 +70,8 @@
         self.evicted = 0
         self._limit = limit
         self._flows: dict[bytes, Flow] = {}
-        # Flows with a request in progress, from the oldest request to the latest.
-        self._waiting: dict[Flow, None] = {}
+        # Flows with a request in progress; few, as admission limits them.
+        self._waiting: set[Flow] = set()
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -114,14 +114,14 @@
         flow.waiting = True
         flow.request_sent_at = now
         flow.target.waiting += 1
-        self._waiting[flow] = None
+        self._waiting.add(flow)
 
     def end_request(self, flow: Flow) -> None:
         """Stop counting a flow's request, if there is one."""
         if flow.waiting:
             flow.waiting = False
             flow.target.waiting -= 1
-            del self._waiting[flow]
+            self._waiting.remove(flow)
 
     def expire_requests(self, now: float) -> None:
         """Stop counting requests that can no longer be answered in time.
@@ -129,9 +129,12 @@
         The answer may have gone unseen, for instance because the routers have moved
         the flow to another entry meanwhile.
         """
-        for flow in list(self._waiting):
-            if now - flow.request_sent_at < MAX_WAIT_OBJECTIVES * flow.objective_s:
-                break
+        expired = [
+            flow
+            for flow in self._waiting
+            if now - flow.request_sent_at > MAX_WAIT_OBJECTIVES * flow.objective_s
+        ]
+        for flow in expired:
             self.end_request(flow)
 
     def remove(self, key: bytes) -> None:
--- a/tests/features/direct_admission.feature
+++ b/tests/features/direct_admission.feature
@@ -121,3 +121,9 @@
       | true      | 1.0     |
       | "fast"    | 1.0     |
       | 1e300     | 1.0     |
+
+  Scenario: A request whose answer is never seen counts for twice its objective
+    Given a site of entries in a with 1 targets in a and 0 in b
+    When a request with an objective of 3600 s begins, and then one with 0.15 s
+    Then after 0.25 s 2 requests are in progress
+    And after 0.35 s 1 request is in progress
--- a/tests/features/steps/direct_admission_steps.py
+++ b/tests/features/steps/direct_admission_steps.py
@@ -209,3 +209,22 @@
 
 def _total(counts):
     return sum(counts.values())
+
+
+@when(
+    "a request with an objective of {long_s:g} s begins, and then one with {short:g} s"
+)
+def step_unseen(context, long_s, short):
+    entry = context.loaded.site.entries[0]
+    context.flows = entry.steering.flows
+    context.target = next(iter(entry.site.targets))
+    for key, objective_s in ((b"long", long_s), (b"short", short)):
+        flow = context.flows.add(key, context.target, 0.0, objective_s)
+        context.flows.begin_request(flow, 0.0)
+
+
+@then("after {seconds:g} s {count:d} requests are in progress")
+@then("after {seconds:g} s {count:d} request is in progress")
+def step_in_progress(context, seconds, count):
+    context.flows.expire_requests(seconds)
+    assert context.target.waiting == count, context.target.waiting
