--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -15,3 +15,12 @@
   Scenario: A short soak run whose store comes back from older copies
     When the soak test runs with seed 2 for 20 s, first with restore_store,change_configuration,restore_store,evacuate
     Then the soak test finds no violated guarantee
+
+  Scenario: Restores of the store that overlap lose nothing that was written last
+    Given a store of the soak with configuration 1
+    And a restore of the store has begun
+    And configuration 2 has been written
+    And another restore of the store has begun
+    When both restores end, in this order, before the operator writes again
+    And 2 s pass
+    Then the store has configuration 2
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,8 +1,15 @@
+import random
 import subprocess
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
+from twisted.internet.task import Clock
+
+from kumquatshift.standins.metadata_store import StoreApi
+from tests.soak.faults import restore_store
+from tests.soak.writers import StoreWriters
 
 ROOT = Path(__file__).resolve().parents[3]
 TIMEOUT_S = 120
@@ -28,3 +35,47 @@
 def step_no_violation(context):
     print(context.done.stdout)
     assert context.done.returncode == 0, context.done.stdout + context.done.stderr
+
+
+@given("a store of the soak with configuration {version:d}")
+def step_store(context, version):
+    clock = Clock()
+    api = StoreApi(clock)
+    context.site = SimpleNamespace(
+        reactor=clock,
+        now=clock.seconds,
+        rng=random.Random(1),
+        api=api,
+        writers=StoreWriters(api),
+        store_disturbed_at=0.0,
+    )
+    context.restores = []
+    step_written(context, version)
+
+
+@given("configuration {version:d} has been written")
+def step_written(context, version):
+    context.site.writers.put("config", "main", {"version": version})
+
+
+@given("a restore of the store has begun")
+@given("another restore of the store has begun")
+def step_restore(context):
+    context.restores.append(restore_store(context.site))
+
+
+@when("both restores end, in this order, before the operator writes again")
+def step_restored(context):
+    for restore in context.restores:
+        restore()
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.site.reactor.advance(seconds)
+
+
+@then("the store has configuration {version:d}")
+def step_version(context, version):
+    found = context.site.api.store.objects["config", "main"]["spec"]["version"]
+    assert found == version, found
