--- a/kumquatshift/direct/admission.py
+++ b/kumquatshift/direct/admission.py
@@ -26,6 +26,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 # Requests in progress per slot, as seen by one entry. The start value lets one entry
 # alone fill the queues of a domain's targets.
 START_LIMIT = 8.0
@@ -58,6 +60,9 @@
 # Share of another domain's limit, whose own entries come first.
 OTHER_DOMAIN_SHARE = 0.5
 
+# Routes draw the service of a flow from the same hash without a seed.
+POINT_SEED = 1
+
 
 class Demand(NamedTuple):
     """How a new flow may use the limit of a pool.
@@ -144,6 +149,11 @@
         return {pool: limit.limit for pool, limit in self._limits.items()}
 
 
+def flow_point(flow: bytes) -> float:
+    """Return the point of a flow, independent of the service that its route draws."""
+    return xxhash.xxh32_intdigest(flow, POINT_SEED) / 2**32
+
+
 def limit_share(priority: int, most_urgent: int, least_urgent: int) -> float:
     """Return the share of a limit for a priority, given the range of priorities.
 
--- a/kumquatshift/direct/events.py
+++ b/kumquatshift/direct/events.py
@@ -39,6 +39,7 @@
     READER_FOLLOWED = "reader followed"
     OBJECT_UNREADABLE = "object unreadable"
     CONFIG_IN_FORCE = "configuration in force"
+    OBJECTIVES_IGNORED = "objectives ignored"
     CONFIG_REJECTED = "configuration rejected"
     TARGET_LISTED = "target listed"
     TARGET_DRAINING = "target draining"
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -38,19 +38,21 @@
         known = self._has_configuration and self._has_targets
         return known and self._has_evacuations
 
-    def put_configuration(self, cfg: Configuration, revision: Revision) -> None:
-        """Activate a configuration if it is newer than the active one.
+    def put_configuration(self, cfg: Configuration, revision: Revision) -> bool:
+        """Activate a configuration; return False if it is not newer.
 
         ``revision`` is that of the store's object, for the log.
         """
         self._has_configuration = True
-        if self.routes.put(cfg):
-            self._events.emit(
-                Event.CONFIG_IN_FORCE,
-                version=cfg.version,
-                routes=len(cfg.routes),
-                revision=revision,
-            )
+        if not self.routes.put(cfg):
+            return False
+        self._events.emit(
+            Event.CONFIG_IN_FORCE,
+            version=cfg.version,
+            routes=len(cfg.routes),
+            revision=revision,
+        )
+        return True
 
     def list_targets(self, reports: Iterable[Report], now: float) -> None:
         """Replace the list of targets; targets missing from it are removed."""
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -11,9 +11,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from .admission import ADMITTED, Demand, limit_share
+from .admission import ADMITTED, Demand, flow_point, limit_share
 from .events import Event
 from .failure_detector import MIN_REPEAT_GAP_S, FailureDetector
 from .flows import Flow, FlowTable
@@ -179,7 +177,7 @@
     def _demand(self, packet: Packet, route: Route) -> Demand:
         return Demand(
             limit_share(route.priority, *self._routes.priority_range),
-            xxhash.xxh32_intdigest(packet.flow) / 2**32,
+            flow_point(packet.flow),
         )
 
     def _pick(
--- a/kumquatshift/platform/feed_listeners.py
+++ b/kumquatshift/platform/feed_listeners.py
@@ -57,7 +57,17 @@
         except objects.UnreadableError as exc:
             self._events.emit(Event.CONFIG_REJECTED, problem=str(exc))
             return
-        self._site.put_configuration(cfg, item.revision)
+        if not self._site.put_configuration(cfg, item.revision):
+            return
+        ignored = objects.ignored_objectives(item.value)
+        if ignored:
+            route, objective_ms = next(iter(ignored.items()))
+            self._events.emit(
+                Event.OBJECTIVES_IGNORED,
+                count=len(ignored),
+                route=route,
+                objective_ms=objective_ms,
+            )
 
 
 class TargetListener:
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -84,6 +84,16 @@
         raise UnreadableError(f"invalid configuration: {exc!r}") from exc
 
 
+def ignored_objectives(spec: dict) -> dict[str, object]:
+    """Return latency objectives that `configuration_from` replaced, by route."""
+    stated = {str(r["name"]): r.get("targetLatencyMs") for r in spec["routes"]}
+    return {
+        name: value
+        for name, value in stated.items()
+        if value is not None and not _is_objective(value)
+    }
+
+
 def report_from(name: str, spec: object) -> Report:
     """Decode the report of a target; raises `UnreadableError`."""
     try:
@@ -132,10 +142,15 @@
 
 def _objective_s(value: object) -> float:
     """Convert a latency objective in milliseconds; the default replaces a bad one."""
+    return value / 1000 if _is_objective(value) else DEFAULT_OBJECTIVE_S
+
+
+def _is_objective(value: object) -> bool:
     try:
-        return _within(value, 1, MAX_OBJECTIVE_MS) / 1000
+        _within(value, 1, MAX_OBJECTIVE_MS)
     except ValueError:
-        return DEFAULT_OBJECTIVE_S
+        return False
+    return True
 
 
 def _limits(wire: dict) -> ServiceLimits:
--- a/tests/features/direct_admission.feature
+++ b/tests/features/direct_admission.feature
@@ -122,6 +122,14 @@
       | "fast"    | 1.0     |
       | 1e300     | 1.0     |
 
+  Scenario: Unusable latency objectives are counted
+    When configurations with these objectives arrive: [[150, null], [0, "fast"], [-5]]
+    Then 2 of them are logged as having objectives ignored, of 2 and 1 routes
+
+  Scenario: Admission treats the services of a route alike
+    When 4000 flows of a route with two services of equal weight are drawn
+    Then a limit with room for half of the flows admits 0.5 of them for each service
+
   Scenario: A request whose answer is never seen counts for twice its objective
     Given a site of entries in a with 1 targets in a and 0 in b
     When a request with an objective of 3600 s begins, and then one with 0.15 s
