--- a/kumquatshift/adapters/entry_metrics.py
+++ b/kumquatshift/adapters/entry_metrics.py
@@ -182,5 +182,5 @@
         "complaints": target.complaints,
         "answered_s_ago": round(now - target.last_answer_at, 3),
         "flows": target.flows,
-        "waiting": target.waiting,
+        "busy": target.busy,
     }
--- a/kumquatshift/direct/admission.py
+++ b/kumquatshift/direct/admission.py
@@ -19,7 +19,9 @@
 
 Requests on flows that are already open are not refused, since a reset of an open
 flow does not tell the caller whether its request has run. They count as in
-progress, so they leave less room for new flows.
+progress, so they leave less room for new flows. Under load, a flow that its caller
+keeps open counts for a moment after each answer, too: the caller sends the next
+request at once, and each flow opened in the gap would add to the load for good.
 """
 
 from __future__ import annotations
@@ -46,8 +48,7 @@
 MAX_DECREASE = 0.5
 MAX_INCREASE = 2.0
 
-# Beyond the start value, the limit grows only if at least this share of it was in
-# demand.
+# While requests queue, the limit grows only if at least this share of it was in demand.
 USED_SHARE = 0.7
 
 # A limit without any answers for this long says nothing about the present.
@@ -119,15 +120,15 @@
         self._answers = 0
 
     def _adjust(self, ratio: float) -> None:
-        factor = TARGET_RATIO / ratio if ratio > 0 else MAX_INCREASE
+        factor = TARGET_RATIO / ratio if ratio > 0 else float("inf")
         if factor < 1:
             used = min(self.limit, max(self._wanted, MIN_LIMIT))
             self.limit = max(MIN_LIMIT, used * max(MAX_DECREASE, factor))
         elif self._wanted >= USED_SHARE * self.limit:
             self.limit = min(MAX_LIMIT, self.limit * min(MAX_INCREASE, factor))
         elif factor > MAX_INCREASE:
-            # Hardly anything queues: return to what a new pool admits, if needed.
-            self.limit = max(self.limit, min(START_LIMIT, self._wanted_limit))
+            # Hardly anything queues: admit whatever was asked for.
+            self.limit = max(self.limit, min(MAX_LIMIT, self._wanted_limit))
 
 
 class Admission:
--- a/kumquatshift/direct/flows.py
+++ b/kumquatshift/direct/flows.py
@@ -20,6 +20,12 @@
 # A request counts as in progress for this many times its latency objective.
 MAX_WAIT_OBJECTIVES = 2.0
 
+# An open flow counts as busy for this long after an answer that took at least this
+# part of its objective. Under such load its caller sends the next request on it within
+# this time, and that one cannot be refused.
+REUSE_S = 0.1
+LOADED_RATIO = 0.5
+
 
 class Flow:
     """State of one flow as observed by one entry.
@@ -29,6 +35,7 @@
     counts retransmissions since the last progress, and ``stalled_since`` is when
     the first of these packets was originally sent. ``request_sent_at`` is when
     the request that awaits an answer was sent, or the flow was opened for it.
+    While `waiting` for an answer, and under load `REUSE_S` beyond, a flow is busy.
     """
 
     __slots__ = (
@@ -70,8 +77,8 @@
         self.evicted = 0
         self._limit = limit
         self._flows: dict[bytes, Flow] = {}
-        # Flows with a request in progress; few, as admission limits them.
-        self._waiting: set[Flow] = set()
+        # Until when flows count as busy; these are few, as admission limits them.
+        self._busy: dict[Flow, float] = {}
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -100,48 +107,49 @@
         return flow
 
     def move(self, flow: Flow, target: LiveTarget) -> None:
-        """Reassign a flow to another target, with its request in progress."""
+        """Reassign a flow to another target, where it is as busy as before."""
         flow.target.flows -= 1
         target.flows += 1
-        if flow.waiting:
-            flow.target.waiting -= 1
-            target.waiting += 1
+        if flow in self._busy:
+            flow.target.busy -= 1
+            target.busy += 1
         flow.target = target
 
     def begin_request(self, flow: Flow, now: float) -> None:
-        """Count a request as in progress at the flow's target."""
-        self.end_request(flow)
+        """Count a flow as busy with a request at its target."""
         flow.waiting = True
         flow.request_sent_at = now
-        flow.target.waiting += 1
-        self._waiting.add(flow)
+        if flow not in self._busy:
+            flow.target.busy += 1
+        self._busy[flow] = now + MAX_WAIT_OBJECTIVES * flow.objective_s
+
+    def end_request(self, flow: Flow, ratio: float, now: float) -> None:
+        """Record an answer that took ``ratio`` times the flow's objective.
 
-    def end_request(self, flow: Flow) -> None:
-        """Stop counting a flow's request, if there is one."""
-        if flow.waiting:
+        Under load the flow stays busy for `REUSE_S`, unless it closes.
+        """
+        if flow.is_closing or ratio < LOADED_RATIO:
+            self._release(flow)
+        else:
             flow.waiting = False
-            flow.target.waiting -= 1
-            self._waiting.remove(flow)
+            self._busy[flow] = now + REUSE_S
 
-    def expire_requests(self, now: float) -> None:
-        """Stop counting requests that can no longer be answered in time.
+    def expire_busy(self, now: float) -> None:
+        """Stop counting flows whose time as busy has passed.
 
-        The answer may have gone unseen, for instance because the routers have moved
-        the flow to another entry meanwhile.
+        A request that can no longer be answered in time has not been refused, but its
+        answer may have gone unseen: the routers may have moved the flow to another
+        entry meanwhile.
         """
-        expired = [
-            flow
-            for flow in self._waiting
-            if now - flow.request_sent_at > MAX_WAIT_OBJECTIVES * flow.objective_s
-        ]
-        for flow in expired:
-            self.end_request(flow)
+        for flow in [flow for flow, until in self._busy.items() if now > until]:
+            self._release(flow)
 
     def remove(self, key: bytes) -> None:
         """Remove a flow if it is present."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self._release_load(flow)
+            flow.target.flows -= 1
+            self._release(flow)
 
     def expire(self, now: float, idle_s: float) -> None:
         """Remove flows that were idle for ``idle_s``, or have closed."""
@@ -153,6 +161,8 @@
         for key in expired:
             self.remove(key)
 
-    def _release_load(self, flow: Flow) -> None:
-        flow.target.flows -= 1
-        self.end_request(flow)
+    def _release(self, flow: Flow) -> None:
+        """Stop counting a flow as busy."""
+        flow.waiting = False
+        if self._busy.pop(flow, None) is not None:
+            flow.target.busy -= 1
--- a/kumquatshift/direct/placement.py
+++ b/kumquatshift/direct/placement.py
@@ -104,7 +104,7 @@
     def _used_share(self, pool: list[LiveTarget], demand: Demand) -> float | None:
         """Return the used share of a pool's limit, or None if it admits no more."""
         limit = self.admission.limit(pool[0].service, pool[0].domain)
-        in_progress = sum(target.waiting for target in pool)
+        in_progress = sum(target.busy for target in pool)
         slots = sum(target.slots for target in pool)
         if not limit.admits(in_progress, slots, demand):
             return None
@@ -193,7 +193,7 @@
 def _cost(target: LiveTarget) -> tuple[float, float, int]:
     """Order targets by actual load, then by the potential load of idle flows."""
     return (
-        target.waiting / target.slots,
+        target.busy / target.slots,
         target.flows / target.slots,
         target.last_picked,
     )
--- a/kumquatshift/direct/steering.py
+++ b/kumquatshift/direct/steering.py
@@ -100,7 +100,7 @@
     def expire(self, now: float) -> None:
         """Drop expired state; to be called about once a second."""
         self.flows.expire(now, self._routes.idle_timeout_s)
-        self.flows.expire_requests(now)
+        self.flows.expire_busy(now)
         for key, first in list(self._unknown_flows.items()):
             if now - first > UNKNOWN_FLOW_TTL_S:
                 del self._unknown_flows[key]
@@ -146,7 +146,7 @@
             target=target.name,
             domain=target.domain,
             flows=target.flows,
-            waiting=target.waiting,
+            busy=target.busy,
             copy=packet.copy,
         )
         return Forward(target)
@@ -185,7 +185,7 @@
     ) -> LiveTarget | Reason:
         service = service_for_flow(route, packet.flow)
         limits = self._routes.limits(service)
-        self.flows.expire_requests(now)
+        self.flows.expire_busy(now)
         return self._placement.pick(self._targets, service, limits, demand, now)
 
     # Packets of open flows
@@ -201,6 +201,7 @@
                 flow.is_open = True
             elif flow.target is not target:
                 self.flows.move(flow, target)
+        flow.is_closing = flow.is_closing or packet.is_last
         self._note_packet(flow, packet, now)
         if packet.size and self._ended(flow.target, now):
             reason = self._end_reason(flow.target)
@@ -210,7 +211,6 @@
         if packet.size:
             self.failure_detector.note_probe(flow.target, now)
         flow.sent_at = flow.seen_at = now
-        flow.is_closing = flow.is_closing or packet.is_last
         return Forward(flow.target)
 
     def _is_sticky(self, flow: Flow, packet: Packet, now: float) -> bool:
@@ -259,8 +259,8 @@
             if first or (moved and flow.waiting):
                 self.failure_detector.note_delivery(flow.request_sent_at)
             if flow.waiting and not first:
-                self._note_latency(flow, packet, now)
-                self.flows.end_request(flow)
+                ratio = self._note_latency(flow, packet, now)
+                self.flows.end_request(flow, ratio, now)
         if moved or not known:
             flow.last_ack = packet.ack
         if not packet.size:
@@ -273,12 +273,14 @@
         elif not moved:
             self.failure_detector.note_repeat(flow, now)
 
-    def _note_latency(self, flow: Flow, packet: Packet, now: float) -> None:
+    def _note_latency(self, flow: Flow, packet: Packet, now: float) -> float:
+        """Record the latency of an answer; return it relative to the objective."""
         waited_s = now - flow.request_sent_at
         self.answer_latencies.append(waited_s)
         answered = (packet.ack - flow.last_ack) & SEQUENCE_MASK
         ratio = latency_ratio(waited_s, flow.objective_s, answered, packet.is_last)
         self._placement.note_answer(flow.target, ratio, now)
+        return ratio
 
     def _ended(self, target: LiveTarget, now: float) -> bool:
         if self._placement.is_gone(target, now):
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -42,11 +42,12 @@
     then, and ``peer_complaints`` those that each peer has reported.
     ``probe_sent_at`` is when a suspected target was first sent a packet that
     requires an answer, after the latest concurrent silence of other targets.
-    ``waiting`` counts its flows with a request in progress.
+    ``busy`` counts its flows with a request in progress, or just answered.
     """
 
     __slots__ = (
         "address",
+        "busy",
         "cold_until",
         "complaints",
         "cookies",
@@ -70,7 +71,6 @@
         "probe_sent_at",
         "sequence",
         "unlisted_at",
-        "waiting",
     )
 
     def __init__(self, report: Report, now: float):
@@ -79,7 +79,7 @@
         self.incarnation = report.incarnation
         self.cookies: dict[bytes, int] = {}
         self.flows = 0
-        self.waiting = 0
+        self.busy = 0
         self.complaints = 0
         self.peer_complaints: dict[str, int] = {}
         self.last_answer_at = now
