--- a/tests/features/steps/direct_admission_steps.py
+++ b/tests/features/steps/direct_admission_steps.py
@@ -1,4 +1,5 @@
 import json
+from collections import Counter
 
 from behave import given, then, when
 
@@ -16,6 +17,8 @@
 from kumquatshift.direct.routes import Route, Share, service_for_flow
 from kumquatshift.platform import objects
 from kumquatshift.platform.feed_listeners import feed_listeners
+from kumquatshift.standins.direct_flows import Outcome
+from tests.support import overload
 from tests.support.direct_site import Recorder, opening_packet
 from tests.support.overload import (
     BULK_OBJECTIVE_S,
@@ -24,6 +27,16 @@
     in_time,
 )
 
+CHANGES = {
+    "nothing else changes": overload.keep,
+    "one target is five times slower": overload.slow_target,
+    "one target has crashed": overload.crash_target,
+    "two targets have just started cold": overload.add_cold_targets,
+    "each target is replaced by a cold one": overload.replace_targets,
+    "400 more flows are open and idle": overload.open_idle_flows,
+    "half of the entries have been killed": overload.kill_entries,
+}
+
 
 @given("a site of entries in {domains} with {in_a:d} targets in a and {in_b:d} in b")
 def step_site(context, domains, in_a, in_b):
@@ -85,6 +98,8 @@
     baseline.without_admission()
     for load, seconds in context.before:
         _load(baseline, load, seconds)
+    if "change" in context:
+        context.change(baseline)
     results = _load(baseline, *context.load)
     baseline.settle()
     without, found = _total(in_time(results)), _total(in_time(context.results))
@@ -307,6 +322,55 @@
     return {"version": version, "routes": routes, "limits": {"idleTimeoutMs": 15000}}
 
 
+@when("{change} and the load is {load:g} times the capacity for {seconds:g} s")
+def step_changed_load(context, change, load, seconds):
+    context.change = CHANGES[change]
+    per_s = load * context.loaded.capacity()
+    context.change(context.loaded)
+    context.results = context.loaded.run(per_s, seconds)
+    context.loaded.settle()
+    context.load = load, seconds
+
+
+@given("no entry has run for {down_s:g} s at {load:g} times the capacity")
+def step_outage(context, down_s, load):
+    site = context.loaded
+    for entry in site.site.entries:
+        entry.is_up = False
+    _load(site, load, down_s)
+    for entry in site.site.entries:
+        entry.is_up = True
+
+
+@given("{share:g} of the packets are lost")
+def step_loss(context, share):
+    context.loaded.site.loss = share
+
+
+@then("no request that was refused to its caller has run")
+def step_not_run(context):
+    ran = _runs(context.loaded)
+    refused = [
+        request.name
+        for kind in context.results.values()
+        for request in kind
+        if request.outcome in (Outcome.NOT_OPENED, Outcome.REFUSED)
+    ]
+    print(f"{len(refused)} refused")
+    assert refused
+    assert not [name for name in refused if ran[name]]
+
+
+@then("no request has run twice")
+def step_once(context):
+    repeated = [name for name, count in _runs(context.loaded).items() if count > 1]
+    assert not repeated, repeated
+
+
+def _runs(site):
+    return Counter(name for t in site.site.targets.values() for name in t.runs)
+
+
 def _load(site, load, seconds):
     return site.run(load * site.capacity(), seconds)
 
