--- a/tests/features/direct_overload.feature
+++ b/tests/features/direct_overload.feature
@@ -19,6 +19,27 @@
       | 400 more flows are open and idle        | 0.5  |
       | half of the entries have been killed    | 0.5  |
 
+  Scenario: Callers that return after 1 s at 0.5 of the capacity are served at once
+    Given a site of entries in a, a, b, b with 2 targets in a and 2 in b
+    And the load has been at half of the capacity
+    And no entry has run for 1 s at 0.5 times the capacity
+    When the load is 0.5 times the capacity for 2 s
+    Then at least 0.85 of the requests are answered in time
+
+  Scenario: Callers that return after 1 s at 0.8 of the capacity are served at once
+    Given a site of entries in a, a, b, b with 2 targets in a and 2 in b
+    And the load has been at half of the capacity
+    And no entry has run for 1 s at 0.8 times the capacity
+    When the load is 0.8 times the capacity for 2 s
+    Then at least 0.85 of the requests are answered in time
+
+  Scenario: Callers that return after 3 s at 0.8 of the capacity are served at once
+    Given a site of entries in a, a, b, b with 2 targets in a and 2 in b
+    And the load has been at half of the capacity
+    And no entry has run for 3 s at 0.8 times the capacity
+    When the load is 0.8 times the capacity for 2 s
+    Then at least 0.85 of the requests are answered in time
+
   Scenario Outline: Two seconds after an outage callers are served as before
     Given a site of entries in a, a, b, b with 2 targets in a and 2 in b
     And the load has been at half of the capacity
