--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -1,19 +1,29 @@
 """Client of the platform's store, with one connection for each kind of object.
 
 A feed decides which call to make next, to the store or to a peer; this module
-makes the call and passes the response to the feed.
+makes the call and passes the response to the feed. A response that cannot belong to
+its call is a late copy of an earlier one: its connection is closed, since those that
+follow would be taken for answers to the wrong calls, too.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..adapters.http_client import CallFailure, HttpConnection, Response
 from ..adapters.http_server import BUSY_STATUS
-from ..direct.calls import Failure, ListCall, PeerUpdateCall, WatchCall
+from ..direct.calls import (
+    Changes,
+    Failure,
+    ListCall,
+    Page,
+    PeerUpdateCall,
+    WatchCall,
+)
 from ..direct.feed import Feed
-from .objects import changes_from, era_from, page_from
+from .objects import UnreadableError, changes_from, era_from, page_from
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -83,7 +93,7 @@
             self._call_started_at = now
             done = self._on_list if isinstance(call, ListCall) else self._on_watch
             self._store_connection.call(
-                "GET", request_path(call), b"", call.timeout_s, done
+                "GET", request_path(call), b"", call.timeout_s, partial(done, call)
             )
 
     def _call_peer(self, call: PeerUpdateCall) -> None:
@@ -108,28 +118,31 @@
         feed = self._feed
         self._handle_answer(
             answer,
+            self._peer_connection,
             lambda response: self.codec.decode(response.body),
             feed.handle_peer_update,
             feed.handle_peer_failure,
         )
 
-    def _on_list(self, answer: Response | CallFailure) -> None:
+    def _on_list(self, call: ListCall, answer: Response | CallFailure) -> None:
         self._count(answer)
         self.call_latencies.append(self._reactor.seconds() - self._call_started_at)
         feed = self._feed
         self._handle_answer(
             answer,
-            lambda response: page_from(response.body, era_from(response.headers)),
+            self._store_connection,
+            partial(_page, call),
             feed.handle_page,
             feed.handle_failure,
         )
 
-    def _on_watch(self, answer: Response | CallFailure) -> None:
+    def _on_watch(self, call: WatchCall, answer: Response | CallFailure) -> None:
         self._count(answer)
         feed = self._feed
         self._handle_answer(
             answer,
-            lambda response: changes_from(response.body, era_from(response.headers)),
+            self._store_connection,
+            partial(_changes, call),
             feed.handle_changes,
             feed.handle_failure,
         )
@@ -137,11 +150,15 @@
     def _handle_answer(
         self,
         answer: Response | CallFailure,
+        connection: HttpConnection,
         decode: Callable[[Response], Decoded],
         on_decoded: Callable[[Decoded, float], None],
         on_failure: Callable[[str, str, float], None],
     ) -> None:
-        """Pass the decoded response to the feed, or the reason for a failure."""
+        """Pass the decoded response to the feed, or the reason for a failure.
+
+        The connection of a response that cannot be used is closed.
+        """
         now = self._reactor.seconds()
         if isinstance(answer, CallFailure):
             on_failure(answer.failure, answer.detail, now)
@@ -152,6 +169,7 @@
             try:
                 decoded = decode(answer)
             except ValueError as exc:
+                connection.close()
                 on_failure(Failure.UNREADABLE, str(exc), now)
             else:
                 on_decoded(decoded, now)
@@ -167,6 +185,22 @@
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
 
+def _page(call: ListCall, response: Response) -> Page:
+    page = page_from(response.body, era_from(response.headers))
+    if call.after and any(item.name <= call.after for item in page.items):
+        raise UnreadableError(f"a page after {call.after!r} begins before it")
+    return page
+
+
+def _changes(call: WatchCall, response: Response) -> Changes:
+    changes = changes_from(response.body, era_from(response.headers))
+    known, found = call.revision, changes.revision
+    is_new = found > known if changes.changes else found >= known
+    if found.era == known.era and not is_new:
+        raise UnreadableError(f"changes up to {found.number} after {known.number}")
+    return changes
+
+
 def request_path(call: ListCall | WatchCall) -> str:
     """Return the path and query of a call to the store."""
     path = f"/api/objects/{call.kind}"
