--- a/kumquatshift/direct/flows.py
+++ b/kumquatshift/direct/flows.py
@@ -137,9 +137,8 @@
     def expire_busy(self, now: float) -> None:
         """Stop counting flows whose time as busy has passed.
 
-        A request that can no longer be answered in time has not been refused, but its
-        answer may have gone unseen: the routers may have moved the flow to another
-        entry meanwhile.
+        The answer to a request may go unseen, for instance because the routers have
+        moved the flow to another entry meanwhile.
         """
         for flow in [flow for flow, until in self._busy.items() if now > until]:
             self._release(flow)
