--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -194,6 +194,8 @@
         self._lost_at: float | None = None
         self._failed_at = 0.0
         self._is_watching = False
+        self._called_at = 0.0
+        self._has_update_waiting = False
         self._peer_failed_at = -1.0
         self._busy_tries = 0
         self._busy_since = 0.0
@@ -270,6 +272,8 @@
                     return self._follow_reader(source, now)
         if now < self._retry_at:
             return None
+        self._called_at = now
+        self._has_update_waiting = False
         if not self._is_listed:
             after = self._pages[-1].name if self._pages else ""
             return ListCall(self.kind, after, self._timeout_s)
@@ -280,6 +284,18 @@
             self.kind, self._known_revision, watch_s, watch_s + WATCH_GRACE_S
         )
 
+    def note_waiting_update(self, now: float) -> None:
+        """Record that a peer has changes, while a call to the store is open."""
+        if self._has_update_waiting:
+            return
+        self._has_update_waiting = True
+        self._events.emit(
+            Event.PEER_UPDATE_WAITS,
+            kind=self.kind,
+            known=self._known_revision,
+            **self._open_call(now),
+        )
+
     def handle_page(self, page: Page, now: float) -> None:
         """Process a page; the last one completes the list."""
         if page.revision.era < self._known_revision.era:
@@ -385,6 +401,7 @@
 
     def handle_failure(self, failure: str, detail: str, now: float) -> None:
         """Record that a call to the store failed; the feed lists again."""
+        call = self._open_call(now)
         self._is_watching = False
         self._failed_at = now
         self._is_listed = False
@@ -401,12 +418,18 @@
                 failure=failure,
                 detail=detail,
                 confirmed_s_ago=round(now - self.confirmed_at, 3),
+                **call,
             )
         self.is_current = False
         if failure == Failure.TIMEOUT:
             increased_s = self._timeout_s * TIMEOUT_GROWTH
             self._timeout_s = min(MAX_TIMEOUT_S, increased_s)
 
+    def _open_call(self, now: float) -> dict[str, object]:
+        """Return what the log tells of the open call to the store."""
+        name = "watch" if self._is_watching else "list"
+        return {"call": name, "open_s": round(now - self._called_at, 3)}
+
     def _retry_delay_s(self, failure: str) -> float:
         """Return the delay; that of followers is longer from the second failure on.
 
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -53,6 +53,7 @@
         self._call_started_at = 0.0
         self._timer = None
         self._is_following = False
+        self._is_calling_store = False
         self._is_stopped = False
 
     def start(self) -> None:
@@ -72,6 +73,8 @@
         if self._is_following:
             self._cancel()
             self._call()
+        elif self._is_calling_store:
+            self._feed.note_waiting_update(self._reactor.seconds())
 
     def _schedule(self, wait_s: float) -> None:
         self._timer = self._reactor.callLater(wait_s, self._call)
@@ -91,6 +94,7 @@
             self._call_peer(call)
         else:
             self._call_started_at = now
+            self._is_calling_store = True
             done = self._on_list if isinstance(call, ListCall) else self._on_watch
             self._store_connection.call(
                 "GET", request_path(call), b"", call.timeout_s, partial(done, call)
@@ -159,6 +163,7 @@
 
         The connection of a response that cannot be used is closed.
         """
+        self._is_calling_store = False
         now = self._reactor.seconds()
         if isinstance(answer, CallFailure):
             on_failure(answer.failure, answer.detail, now)
