--- /dev/null
+++ b/tests/features/direct_silent_connections.feature
@@ -0,0 +1,30 @@
+@long
+Feature: Connections that fall silent do not keep a change from taking effect in time
+
+  Guards against an idle connection that is trusted: it has carried nothing for long,
+  and a call of full length on it waits for an answer that cannot come. Guards also
+  against an entry that waits for such an answer while its peers have the change.
+  Connections fall silent for good; new ones work.
+
+  Scenario Outline: A change takes effect in time after connections have fallen silent
+    Given a bound of <bound> s for changes and a stable window of <stable> s
+    When in domains of <count> entries connections to <what> fall silent at a share of <share>, each in another phase of its watches
+    And each domain has changes 0.05 s and 2.5 s later
+    Then every change of each domain is known within <limit> s of it or <stable> s of the silence
+
+    Examples: Bounds and windows of the deployments
+      | bound | stable | count | what  | share | limit |
+      | 3     | 4      | 3     | store | 1     | 3     |
+      | 3     | 4      | 7     | store | 1     | 3     |
+      | 5     | 5      | 12    | store | 1     | 5     |
+      | 5     | 6      | 12    | store | 1     | 5     |
+
+    Examples: Parts of the domain, and connections between entries
+      | bound | stable | count | what  | share | limit |
+      | 3     | 4      | 12    | all   | 1     | 3     |
+      | 3     | 4      | 12    | peers | 1     | 3     |
+      | 3     | 4      | 12    | all   | 0.7   | 3     |
+      | 5     | 5      | 12    | all   | 1     | 5     |
+      | 5     | 5      | 12    | peers | 1     | 5     |
+      | 5     | 5      | 12    | all   | 0.7   | 5     |
+      | 5     | 6      | 33    | all   | 1     | 5     |
