--- a/kumquatshift/adapters/http_client.py
+++ b/kumquatshift/adapters/http_client.py
@@ -2,8 +2,9 @@
 
 Every call ends with a response or with the reason why there is none. A
 connection on which a response timed out is not used again, nor one on which the
-server sent more than the response. A response that has begun in time may continue
-while bytes keep arriving, up to a limit.
+server sent more than the response, nor one that has been idle: it may have died
+without notice, and only a new one shows at once whether the path works. A response
+that has begun in time may continue while bytes keep arriving, up to a limit.
 """
 
 from __future__ import annotations
@@ -27,6 +28,10 @@
 # TCP sender comes 0.6 s after the first packet.
 STALL_TIMEOUT_S = 0.8
 
+# A connection that carried nothing for this long is closed. Calls in a series, such
+# as watches that are renewed, follow each other within less.
+IDLE_TIMEOUT_S = 1.0
+
 # The largest response, 1 MB, over the slowest link, 5 Mbit/s, while two others
 # share the link.
 MAX_RESPONSE_S = 5.0
@@ -68,6 +73,7 @@
         # When the connection last carried data; None before that.
         self._proven_at: float | None = None
         self._called_at = 0.0
+        self._idle_timer = None
 
     def call(
         self,
@@ -78,6 +84,7 @@
         on_done: Callable[[Response | CallFailure], None],
     ) -> None:
         """Make a call; ``on_done`` gets a `Response` or a `CallFailure`."""
+        self._cancel_idle_timer()
         self._on_done = on_done
         self._timeout = self._reactor.callLater(timeout_s, self._time_out)
         self._last_received_at = None
@@ -184,7 +191,9 @@
         """Pass the response to ``on_done``."""
         on_done = self._on_done
         self._finish()
-        if not self._may_reuse:
+        if self._may_reuse:
+            self._idle_timer = self._reactor.callLater(IDLE_TIMEOUT_S, self._disconnect)
+        else:
             self._disconnect()
         if on_done is not None:
             on_done(response)
@@ -232,7 +241,13 @@
             self._timeout.cancel()
         self._timeout = None
 
+    def _cancel_idle_timer(self) -> None:
+        if self._idle_timer is not None and self._idle_timer.active():
+            self._idle_timer.cancel()
+        self._idle_timer = None
+
     def _disconnect(self) -> None:
+        self._cancel_idle_timer()
         if self._sock is None:
             return
         self._reactor.removeReader(self)
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -96,9 +96,14 @@
 # time to a reader.
 READER_ANSWER_MARGIN_S = 0.2
 
-# Time to recover from a watch that went silent: one retry and one list.
+# Time to recover from a watch that went silent: one list.
 WATCH_MARGIN_S = 0.4
 
+# The store's last answer shows for this long that it can be reached. After that, the
+# first call is answered without waiting for changes, so that it soon ends if the
+# connection is dead.
+PROOF_TTL_S = 1.0
+
 # Lower limits, however short the deadlines are: calls at a higher rate would cost
 # more than they gain.
 MIN_WATCH_S = 0.5
@@ -195,6 +200,7 @@
         self._failed_at = 0.0
         self._is_watching = False
         self._called_at = 0.0
+        self._answered_at = float("-inf")
         self._has_update_waiting = False
         self._peer_failed_at = -1.0
         self._busy_tries = 0
@@ -278,11 +284,22 @@
             after = self._pages[-1].name if self._pages else ""
             return ListCall(self.kind, after, self._timeout_s)
         self._is_watching = True
-        timing = self._timing
-        watch_s = timing.reader_watch_s if self.is_reader else timing.watch_s
-        return WatchCall(
-            self.kind, self._known_revision, watch_s, watch_s + WATCH_GRACE_S
-        )
+        return self._watch_call(now)
+
+    def _watch_call(self, now: float) -> WatchCall:
+        """Return a watch that ends in time, counted from the store's last answer.
+
+        A connection may have died just after that answer.
+        """
+        proven_s = now - self._answered_at
+        if proven_s > PROOF_TTL_S:
+            wait_s, timeout_s = 0.0, self._timeout_s
+        else:
+            timing = self._timing
+            watch_s = timing.reader_watch_s if self.is_reader else timing.watch_s
+            wait_s = max(MIN_WATCH_S, watch_s - proven_s)
+            timeout_s = wait_s + WATCH_GRACE_S
+        return WatchCall(self.kind, self._known_revision, wait_s, timeout_s)
 
     def note_waiting_update(self, now: float) -> None:
         """Record that a peer has changes, while a call to the store is open."""
@@ -569,5 +586,5 @@
             )
             self._lost_at = None
         self.is_current = True
-        self.confirmed_at = now
+        self.confirmed_at = self._answered_at = now
         self._timeout_s = FIRST_TIMEOUT_S
--- a/tests/features/direct_silent_connections.feature
+++ b/tests/features/direct_silent_connections.feature
@@ -28,3 +28,18 @@
       | 5     | 5      | 12    | peers | 1     | 5     |
       | 5     | 5      | 12    | all   | 0.7   | 5     |
       | 5     | 6      | 33    | all   | 1     | 5     |
+
+  Scenario Outline: The first call after a pause does not wait on a connection that has died
+    Given a client that has called a server once
+    When its connection falls silent, and it calls again <pause> s later
+    Then the call is answered on connection <connection>
+
+    Examples:
+      | pause | connection |
+      | 1.5   | 2          |
+      | 60    | 2          |
+
+  Scenario: Calls that follow each other share a connection
+    Given a client that has called a server once
+    When it calls again 0.5 s later
+    Then the call is answered on connection 1
--- a/tests/features/steps/direct_silent_connections_steps.py
+++ b/tests/features/steps/direct_silent_connections_steps.py
@@ -1,10 +1,13 @@
-from behave import then, when
+from behave import given, then, when
 
+from kumquatshift.adapters.http_client import HttpConnection, Response
+from tests.support.copying_store import CopyingStore, SteppedReactor
 from tests.support.feed_domain import KIND, FeedDomain
 
 PHASES = 8
 PHASE_S = 0.47
 WARM_UP_S = 6.0
+CALL_TIMEOUT_S = 3.0
 
 
 @when(
@@ -46,3 +49,39 @@
             if node.listener.values.get(name) != 777:
                 late.setdefault((domain, name), []).append(node.me.name)
     assert not late, list(late.values())
+
+
+@given("a client that has called a server once")
+def step_client(context):
+    context.store = CopyingStore(SteppedReactor())
+    context.add_cleanup(context.store.close)
+    context.client = HttpConnection(context.store.reactor, context.store.address)
+    context.add_cleanup(context.client.close)
+    context.answers = []
+    _call(context)
+    context.store.exchange()
+
+
+@when("its connection falls silent, and it calls again {pause:g} s later")
+def step_call_after_silence(context, pause):
+    context.store.silence()
+    step_call_again(context, pause)
+
+
+@when("it calls again {pause:g} s later")
+def step_call_again(context, pause):
+    context.store.reactor.advance(pause)
+    _call(context)
+
+
+@then("the call is answered on connection {number:d}")
+def step_answered(context, number):
+    context.store.exchange()
+    assert all(isinstance(each, Response) for each in context.answers)
+    assert len(context.answers) == 2, context.answers
+    assert context.store.connections == number, context.store.connections
+
+
+def _call(context):
+    path = f"/api/objects/{KIND}"
+    context.client.call("GET", path, b"", CALL_TIMEOUT_S, context.answers.append)
