--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -40,11 +40,14 @@
 
 
 class StoreReader:
-    """Makes the calls of one feed."""
+    """Makes the calls of one feed; ``connect`` opens connections."""
 
-    def __init__(self, reactor, address: tuple[str, int], feed: Feed):
+    def __init__(
+        self, reactor, address: tuple[str, int], feed: Feed, connect=HttpConnection
+    ):
         self._reactor = reactor
-        self._store_connection = HttpConnection(reactor, address)
+        self._connect = connect
+        self._store_connection = connect(reactor, address)
         self._feed = feed
         self.codec: PeerUpdateCodec | None = None
         self._peer_connection: HttpConnection | None = None
@@ -108,7 +111,7 @@
         ):
             if self._peer_connection is not None:
                 self._peer_connection.close()
-            self._peer_connection = HttpConnection(self._reactor, call.address)
+            self._peer_connection = self._connect(self._reactor, call.address)
         path = self.codec.path(call.kind, call.since)
         self._peer_connection.call(
             "GET", path, b"", call.timeout_s, self._on_peer_answer
