--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -198,7 +198,10 @@
         self._timeout_s = FIRST_TIMEOUT_S
         self._lost_at: float | None = None
         self._failed_at = 0.0
-        self._is_watching = False
+        # Whether the last call failed for another reason than a dead connection.
+        self._is_refused = False
+        # The open call to the store, if there is one.
+        self._call: ListCall | WatchCall | None = None
         self._called_at = 0.0
         self._answered_at = float("-inf")
         self._has_update_waiting = False
@@ -213,7 +216,7 @@
 
     def reaches_store(self, now: float) -> bool:
         """Return whether the store is presumed reachable from this entry."""
-        return self._lost_at is None or now - self._failed_at > REFUSAL_TTL_S
+        return not self._is_refused or now - self._failed_at > REFUSAL_TTL_S
 
     def status(self, now: float) -> FeedStatus | None:
         """Return the feed's revision and age, or None before its first list."""
@@ -243,7 +246,10 @@
         delivery delay; otherwise it is when the store last confirmed the state.
         """
         watched_s = now - self.confirmed_at
-        if self._is_watching and watched_s < self._timing.watch_s + WATCH_GRACE_S:
+        if (
+            isinstance(self._call, WatchCall)
+            and watched_s < self._timing.watch_s + WATCH_GRACE_S
+        ):
             return now - WATCH_DELIVERY_S
         return self.confirmed_at
 
@@ -280,11 +286,13 @@
             return None
         self._called_at = now
         self._has_update_waiting = False
-        if not self._is_listed:
-            after = self._pages[-1].name if self._pages else ""
-            return ListCall(self.kind, after, self._timeout_s)
-        self._is_watching = True
-        return self._watch_call(now)
+        self._call = self._watch_call(now) if self._is_listed else self._list_call()
+        return self._call
+
+    def _list_call(self) -> ListCall:
+        """Return the request for the next page."""
+        after = self._pages[-1].name if self._pages else ""
+        return ListCall(self.kind, after, self._timeout_s)
 
     def _watch_call(self, now: float) -> WatchCall:
         """Return a watch that ends in time, counted from the store's last answer.
@@ -310,11 +318,13 @@
             Event.PEER_UPDATE_WAITS,
             kind=self.kind,
             known=self._known_revision,
-            **self._open_call(now),
+            call=_name(self._call),
+            open_s=round(now - self._called_at, 3),
         )
 
     def handle_page(self, page: Page, now: float) -> None:
         """Process a page; the last one completes the list."""
+        self._call = None
         if page.revision.era < self._known_revision.era:
             detail = f"era {page.revision.era} after {self._known_revision.era}"
             self.handle_failure(Failure.UNREADABLE, detail, now)
@@ -341,7 +351,7 @@
 
     def handle_changes(self, changes: Changes, now: float) -> None:
         """Process the result of a watch."""
-        self._is_watching = False
+        self._call = None
         if changes.revision.era != self._known_revision.era:
             # Its numbers do not follow on the known ones, even if nothing is missing.
             self._is_listed = False
@@ -417,16 +427,21 @@
         return PeerUpdate(False, (), changes, status)
 
     def handle_failure(self, failure: str, detail: str, now: float) -> None:
-        """Record that a call to the store failed; the feed lists again."""
-        call = self._open_call(now)
-        self._is_watching = False
+        """Record that a call to the store failed; the feed lists again.
+
+        A watch that times out tells nothing of the store, since its connection may
+        have died. The list that follows at once is made on a new one.
+        """
+        call, self._call = self._call, None
         self._failed_at = now
         self._is_listed = False
         self._pages = []
         if failure == Failure.EXPIRED:
             self._events.emit(Event.STORE_HISTORY_GONE, kind=self.kind)
             return
-        self._retry_at = now + self._retry_delay_s(failure)
+        is_hung = _is_long(call) and failure == Failure.TIMEOUT
+        self._is_refused = not is_hung
+        self._retry_at = now if is_hung else now + self._retry_delay_s(failure)
         if self._lost_at is None:
             self._lost_at = now
             self._events.emit(
@@ -435,23 +450,16 @@
                 failure=failure,
                 detail=detail,
                 confirmed_s_ago=round(now - self.confirmed_at, 3),
-                **call,
+                call=_name(call),
+                open_s=round(now - self._called_at, 3),
             )
         self.is_current = False
-        if failure == Failure.TIMEOUT:
+        if failure == Failure.TIMEOUT and not is_hung:
             increased_s = self._timeout_s * TIMEOUT_GROWTH
             self._timeout_s = min(MAX_TIMEOUT_S, increased_s)
 
-    def _open_call(self, now: float) -> dict[str, object]:
-        """Return what the log tells of the open call to the store."""
-        name = "watch" if self._is_watching else "list"
-        return {"call": name, "open_s": round(now - self._called_at, 3)}
-
     def _retry_delay_s(self, failure: str) -> float:
-        """Return the delay; that of followers is longer from the second failure on.
-
-        The first one may be that of a watch which has hung since the store was lost.
-        """
+        """Return the delay; that of followers is longer from the second failure on."""
         uses_readers = self._members is not None and self._members.uses_readers()
         if self._lost_at is not None and uses_readers and not self.is_reader:
             return RETRY_FOLLOWER_S
@@ -585,6 +593,17 @@
                 after_s=round(now - self._lost_at, 3),
             )
             self._lost_at = None
+        self._is_refused = False
         self.is_current = True
         self.confirmed_at = self._answered_at = now
         self._timeout_s = FIRST_TIMEOUT_S
+
+
+def _name(call: ListCall | WatchCall | None) -> str:
+    """Return the name of a call to the store for the log."""
+    return "watch" if isinstance(call, WatchCall) else "list"
+
+
+def _is_long(call: ListCall | WatchCall | None) -> bool:
+    """Return whether a call waits for changes, so that its connection may die."""
+    return isinstance(call, WatchCall) and call.wait_s > 0
--- a/tests/features/direct_silent_connections.feature
+++ b/tests/features/direct_silent_connections.feature
@@ -29,6 +29,18 @@
       | 5     | 5      | 12    | all   | 0.7   | 5     |
       | 5     | 6      | 33    | all   | 1     | 5     |
 
+  Scenario Outline: Readers whose connections have died stay readers
+    Given a bound of <bound> s for changes and a stable window of <stable> s
+    When in domains of 12 entries connections to store fall silent at a share of 1, each in another phase of its watches
+    And each domain has changes 0.05 s and 2.5 s later
+    Then every change of each domain is known within <limit> s of it or <stable> s of the silence
+    And in each domain 2 entries have called the store since the silence
+
+    Examples:
+      | bound | stable | limit |
+      | 3     | 4      | 3     |
+      | 5     | 5      | 5     |
+
   Scenario Outline: The first call after a pause does not wait on a connection that has died
     Given a client that has called a server once
     When its connection falls silent, and it calls again <pause> s later
--- a/tests/features/steps/direct_silent_connections_steps.py
+++ b/tests/features/steps/direct_silent_connections_steps.py
@@ -51,6 +51,17 @@
     assert not late, list(late.values())
 
 
+@then("in each domain {count:d} entries have called the store since the silence")
+def step_callers(context, count):
+    for domain, silent_since in context.domains:
+        callers = [
+            node.me.name
+            for node in domain.nodes
+            if any(called_at > silent_since for called_at, _ in node.calls)
+        ]
+        assert len(callers) == count, callers
+
+
 @given("a client that has called a server once")
 def step_client(context):
     context.store = CopyingStore(SteppedReactor())
