--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -251,8 +251,11 @@
         """Return the time up to which every change is known.
 
         With an open watch that is not overdue, this is the present minus the
-        delivery delay; otherwise it is when the store last confirmed the state.
+        delivery delay; otherwise it is when the store last confirmed the state. So
+        it is if a peer has changes that the watch has not delivered.
         """
+        if self._announced > self._known_revision:
+            return self.confirmed_at
         watched_s = now - self.confirmed_at
         if (
             isinstance(self._call, WatchCall)
--- a/tests/features/direct_silent_connections.feature
+++ b/tests/features/direct_silent_connections.feature
@@ -55,6 +55,17 @@
       | 5     | 5      | 12    | one reader |
       | 5     | 6      | 12    | one reader |
 
+  Scenario Outline: A dead watch does not pass for one without changes once a peer has some
+    Given a bound of 5 s for changes and a stable window of 5 s
+    When in domains of <count> entries the connection of <which> to the store falls silent, each in another phase of its watches
+    And each domain has a change 0.05 s later
+    Then no entry claims to know a change that it lacks
+
+    Examples:
+      | count | which      |
+      | 3     | one entry  |
+      | 12    | one reader |
+
   Scenario Outline: The first call after a pause does not wait on a connection that has died
     Given a client that has called a server once
     When its connection falls silent, and it calls again <pause> s later
