--- a/kumquatshift/adapters/http_server.py
+++ b/kumquatshift/adapters/http_server.py
@@ -17,7 +17,8 @@
 MAX_CONNECTIONS = 100
 
 # A prober calls twice a second; a connection that is idle for this long has been
-# abandoned by the client.
+# abandoned by the client. Under many connections, that of the client that has been
+# silent for longest is closed earlier: it may have died, and a new one has not.
 IDLE_TIMEOUT_S = 30.0
 
 # Too Many Requests (RFC 6585): the client may soon repeat the request.
@@ -47,7 +48,8 @@
     def __init__(self, reactor, address: tuple[str, int], pages: Pages):
         self._reactor = reactor
         self._pages = pages
-        self._connections: set[_Connection] = set()
+        # The connections, that of the latest request last.
+        self._connections: dict[_Connection, None] = {}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -66,10 +68,9 @@
         except OSError:
             return  # The client closed the connection before it was accepted.
         if len(self._connections) >= MAX_CONNECTIONS:
-            sock.close()
-            return
+            next(iter(self._connections)).close()
         sock.setblocking(False)
-        self._connections.add(_Connection(self._reactor, sock, self))
+        self._connections[_Connection(self._reactor, sock, self)] = None
 
     def answer(self, path: bytes) -> PageResponse:
         """Return the response of the page at ``path``; the page gets the query."""
@@ -79,7 +80,12 @@
 
     def remove_connection(self, conn: _Connection) -> None:
         """Remove a connection that was closed."""
-        self._connections.discard(conn)
+        self._connections.pop(conn, None)
+
+    def note_request(self, conn: _Connection) -> None:
+        """Record that a connection is in use."""
+        if conn in self._connections:
+            self._connections[conn] = self._connections.pop(conn)
 
 
 class _Connection(Descriptor):
@@ -92,7 +98,7 @@
         self._parser = HttpRequestParser(self)
         self._path = b""
         self._send_buffer = b""
-        self._idle_timer = reactor.callLater(IDLE_TIMEOUT_S, self._close)
+        self._idle_timer = reactor.callLater(IDLE_TIMEOUT_S, self.close)
         reactor.addReader(self)
 
     def fileno(self) -> int:
@@ -102,13 +108,13 @@
         try:
             data = self._sock.recv(RECEIVE_BYTES)
             if not data:
-                self._close()
+                self.close()
                 return
             self._parser.feed_data(data)
         except BlockingIOError:
             return
         except Exception:  # A broken connection or invalid HTTP: close it.
-            self._close()
+            self.close()
 
     def doWrite(self) -> None:  # noqa: N802
         try:
@@ -116,7 +122,7 @@
         except BlockingIOError:
             return
         except OSError:
-            self._close()
+            self.close()
             return
         self._send_buffer = self._send_buffer[sent:]
         if not self._send_buffer:
@@ -126,16 +132,17 @@
         self._path = url
 
     def on_message_complete(self) -> None:
+        self._server.note_request(self)
         answer = self._server.answer(self._path)
         text = REASON_PHRASES.get(answer.status, "Unknown")
         head = f"HTTP/1.1 {answer.status} {text}\r\n"
         head += f"Content-Length: {len(answer.body)}\r\n\r\n"
         self._send_buffer += head.encode() + answer.body
         self._idle_timer.cancel()
-        self._idle_timer = self._reactor.callLater(IDLE_TIMEOUT_S, self._close)
+        self._idle_timer = self._reactor.callLater(IDLE_TIMEOUT_S, self.close)
         self._reactor.addWriter(self)
 
-    def _close(self) -> None:
+    def close(self) -> None:
         if self._idle_timer.active():
             self._idle_timer.cancel()
         if self._sock.fileno() < 0:
--- a/tests/features/direct_silent_connections.feature
+++ b/tests/features/direct_silent_connections.feature
@@ -80,3 +80,9 @@
     Given a client that has called a server once
     When it calls again 0.5 s later
     Then the call is answered on connection 1
+
+  Scenario: A server with many dead connections answers on new ones
+    Given a server of pages with 200 connections that have died after a call each
+    And a client that calls it again and again on one connection
+    When the client opens 50 more connections and calls on each of them
+    Then all its calls are answered, those on the first connection too
--- a/tests/features/steps/direct_silent_connections_steps.py
+++ b/tests/features/steps/direct_silent_connections_steps.py
@@ -1,7 +1,10 @@
+import socket
+
 from behave import given, then, when
 from hypothesis import Phase, given as drawn, settings, strategies as st
 
 from kumquatshift.adapters.http_client import HttpConnection, Response
+from kumquatshift.adapters.http_server import PageResponse, PageServer
 from tests.support.copying_store import CopyingStore, SteppedReactor
 from tests.support.feed_domain import KIND, FeedDomain
 from tests.support.silence_schedules import Bounds, SilenceRun, schedules
@@ -182,3 +185,46 @@
 def _call(context):
     path = f"/api/objects/{KIND}"
     context.client.call("GET", path, b"", CALL_TIMEOUT_S, context.answers.append)
+
+
+@given("a server of pages with {count:d} connections that have died after a call each")
+def step_dead_connections(context, count):
+    context.reactor = SteppedReactor()
+    server = PageServer(
+        context.reactor, ("127.0.0.1", 0), {b"/": lambda query: PageResponse(200)}
+    )
+    context.address = socket.socket(fileno=socket.dup(server.fileno())).getsockname()
+    for _ in range(count):
+        assert _get(context, socket.create_connection(context.address))
+
+
+@given("a client that calls it again and again on one connection")
+def step_lasting_client(context):
+    context.lasting = socket.create_connection(context.address)
+    assert _get(context, context.lasting)
+
+
+@when("the client opens {count:d} more connections and calls on each of them")
+def step_more_connections(context, count):
+    context.answered = []
+    for _ in range(count):
+        conn = socket.create_connection(context.address)
+        context.answered += [_get(context, conn), _get(context, context.lasting)]
+
+
+@then("all its calls are answered, those on the first connection too")
+def step_all_answered(context):
+    assert all(context.answered), context.answered
+
+
+def _get(context, conn):
+    """Call a page on an open connection; return whether it was answered."""
+    context.add_cleanup(conn.close)
+    conn.settimeout(1.0)
+    try:
+        conn.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(4):
+            context.reactor.poll(0.01)
+        return conn.recv(100).startswith(b"HTTP/1.1 200")
+    except OSError:
+        return False
