--- a/kumquatshift/adapters/control.py
+++ b/kumquatshift/adapters/control.py
@@ -1,5 +1,6 @@
 """gRPC between entries: synchronise configuration, hand records over."""
 
+import asyncio
 import json
 from collections.abc import Callable, Iterable
 
@@ -15,6 +16,10 @@
 
 CALL_TIMEOUT_S = 2.0
 
+# After these a call is made on a new channel: the connection may have died without
+# notice, and gRPC itself waits up to two minutes before it connects again.
+LOST_CODES = (grpc.StatusCode.DEADLINE_EXCEEDED, grpc.StatusCode.UNAVAILABLE)
+
 log = logger.bind(part="control")
 
 
@@ -52,17 +57,19 @@
 
 
 class ControlClient:
-    """Makes control calls to other entries over one channel each."""
+    """Makes control calls to other entries over one channel each.
+
+    A channel on which a call was not answered is replaced.
+    """
 
     def __init__(self, open_channel: Callable[[str], grpc.aio.Channel]):
         self._open_channel = open_channel
-        self._stubs: dict[str, rpc.ControlStub] = {}
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._closing: set[asyncio.Task] = set()
 
     async def sync(self, endpoint: str, digests: tuple[int, ...]) -> list[Versioned]:
         """Return the objects of buckets in which the entry at ``endpoint`` differs."""
-        request = pb.SyncRequest(digests=digests)
-        reply = await self._stub(endpoint).Sync(request, timeout=CALL_TIMEOUT_S)
+        reply = await self._call(endpoint, "Sync", pb.SyncRequest(digests=digests))
         read = [object_from_json(json.loads(text)) for text in reply.objects]
         bad = [each for each in read if not is_successful(each)]
         if bad:
@@ -72,18 +79,36 @@
     async def copy(self, endpoint: str, sender: str, batch: RecordBatch) -> None:
         """Hand records over; returns once the entry at ``endpoint`` has them."""
         request = pb.CopyRequest(sender=sender, records=encode_batch(batch))
-        await self._stub(endpoint).Copy(request, timeout=CALL_TIMEOUT_S)
+        await self._call(endpoint, "Copy", request)
 
     async def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-
-    def _stub(self, endpoint):
-        if endpoint not in self._stubs:
-            self._channels[endpoint] = self._open_channel(endpoint)
-            self._stubs[endpoint] = rpc.ControlStub(self._channels[endpoint])
-        return self._stubs[endpoint]
+        for endpoint in list(self._channels):
+            self._drop(endpoint, self._channels[endpoint], grace_s=None)
+        await asyncio.gather(*self._closing)
+
+    async def _call(self, endpoint: str, method: str, request):
+        channel = self._channels.get(endpoint)
+        if channel is None:
+            channel = self._channels[endpoint] = self._open_channel(endpoint)
+        call = getattr(rpc.ControlStub(channel), method)
+        try:
+            return await call(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as exc:
+            if exc.code() in LOST_CODES:
+                self._drop(endpoint, channel, grace_s=CALL_TIMEOUT_S)
+            raise
+
+    def _drop(
+        self, endpoint: str, channel: grpc.aio.Channel, grace_s: float | None
+    ) -> None:
+        """Close a channel; calls that are in progress may end within ``grace_s``."""
+        if self._channels.get(endpoint) is not channel:
+            return  # Another call that failed has replaced it.
+        del self._channels[endpoint]
+        closing = asyncio.ensure_future(channel.close(grace_s))
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
 
 
 async def serve(
--- a/kumquatshift/tls.py
+++ b/kumquatshift/tls.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import grpc
@@ -26,6 +27,9 @@
 
 CONNECT_TIMEOUT_S = 5.0
 
+# Otherwise a new channel shares the connection of an earlier one to the same endpoint.
+CHANNEL_OPTIONS = (("grpc.use_local_subchannel_pool", 1),)
+
 
 def server_credentials(section: TlsSection) -> grpc.ServerCredentials | None:
     """Return mutual TLS credentials for a gRPC server, None for clear text."""
@@ -40,11 +44,13 @@
 def channel_opener(section: TlsSection) -> Callable[[str], grpc.aio.Channel]:
     """Return a function that opens a gRPC channel to ``ADDRESS:PORT``."""
     if not section.enabled:
-        return grpc.aio.insecure_channel
+        return partial(grpc.aio.insecure_channel, options=CHANNEL_OPTIONS)
     credentials = grpc.ssl_channel_credentials(
         _read_file(section.ca), _read_file(section.key), _read_file(section.certificate)
     )
-    return lambda endpoint: grpc.aio.secure_channel(endpoint, credentials)
+    return partial(
+        grpc.aio.secure_channel, credentials=credentials, options=CHANNEL_OPTIONS
+    )
 
 
 def admin_context(section: TlsSection) -> CertificateOptions | None:
