--- a/kumquatshift/adapters/watcher.py
+++ b/kumquatshift/adapters/watcher.py
@@ -13,6 +13,11 @@
 from ..logs import Part, logger_for
 from ..platform_port import Expired, Listing, Platform, Progress, Vm
 
+# A watch without an event for this long is opened again, since a dead connection looks
+# the same; the platform sends its version on each new one.
+WATCH_RENEW_S = 2.0
+
+# After this long, even new watches are taken to hang.
 WATCH_SILENCE_S = 10.0
 BACKOFF_FIRST_S = 0.2
 BACKOFF_MAX_S = 2.0
@@ -47,8 +52,8 @@
     """Reports every change of the platform's objects while the watch is held open.
 
     It lists, then watches from the version of the list. A watch without an event
-    for 10 s is closed; then, as after `Expired`, it lists again, so that changes
-    arrive even while every watch hangs.
+    for 2 s is opened again. Without any for 10 s, as after `Expired`, it lists again,
+    so that changes arrive even while every watch hangs.
     An object of ``known`` that is missing from a list is reported as deleted only
     if the list is newer than the object: a stale list deletes nothing. The first
     list after the platform came back from an older copy is not reported but read
@@ -75,6 +80,7 @@
         self._pending_list = None
         self._watch = None
         self._timer = None
+        self._heard_at = 0.0
         self._failing = False
         self._awaited_era = 0
 
@@ -161,15 +167,20 @@
         ]
 
     def _start_watch(self):
+        self._heard_at = self._clock.seconds()
+        self._open_watch()
+
+    def _open_watch(self):
         self._watch = self._platform.watch_objects(
             self._since, self._on_event, self._on_end
         )
-        self._restart_silence_timer()
+        self._set_timer(WATCH_RENEW_S, self._on_quiet)
 
     def _on_event(self, event):
         if not self._held:
             return
-        self._restart_silence_timer()
+        self._heard_at = self._clock.seconds()
+        self._set_timer(WATCH_RENEW_S, self._on_quiet)
         self._backoff.reset()
         if self._failing:
             log.info("The watch of the platform works again.")
@@ -194,11 +205,11 @@
         self._failing = True
         self._set_timer(self._backoff.next_s(), self._open)
 
-    def _restart_silence_timer(self):
-        self._set_timer(WATCH_SILENCE_S, self._on_silence)
-
-    def _on_silence(self):
+    def _on_quiet(self):
         self._stop_watch()
+        if self._clock.seconds() - self._heard_at < WATCH_SILENCE_S:
+            self._open_watch()
+            return
         self._since = None
         text = f"no event on the watch for {WATCH_SILENCE_S:g} s"
         self._schedule_retry(Failure(ErrorKind.TIMEOUT, text))
