--- a/kumquatshift/cli/explain.py
+++ b/kumquatshift/cli/explain.py
@@ -138,6 +138,7 @@
     "unready",
     "store lost",
     "store regained",
+    "store call abandoned",
     "internal error",
 )
 _TARGET_EVENTS = (
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -208,8 +208,8 @@
         # The open call to the store, if there is one.
         self._call: ListCall | WatchCall | None = None
         self._called_at = 0.0
-        # The latest change that a peer announced during the open call, and the one for
-        # which a call was last given up.
+        # The latest change that a peer has announced, and the one for which a call was
+        # last given up.
         self._announced = NO_REVISION
         self._abandoned_for = NO_REVISION
         self._answered_at = float("-inf")
--- a/kumquatshift/platform/store.py
+++ b/kumquatshift/platform/store.py
@@ -27,12 +27,34 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import TypeVar
+    from typing import Protocol, TypeVar
 
     from ..adapters.peers import PeerUpdateCodec
     from ..direct.calls import Revision
 
     Decoded = TypeVar("Decoded")
+    Answer = Response | CallFailure
+
+    class Connection(Protocol):
+        """Makes one call at a time to the server at ``address``."""
+
+        address: tuple[str, int]
+
+        def call(
+            self,
+            method: str,
+            path: str,
+            body: bytes,
+            timeout_s: float,
+            on_done: Callable[[Answer], None],
+        ) -> None:
+            """Make a call; ``on_done`` gets its outcome."""
+            ...
+
+        def close(self) -> None:
+            """Drop a pending call; the next call is made on a new connection."""
+            ...
+
 
 # Latency samples of lists, kept until metrics are next collected.
 MAX_LATENCY_SAMPLES = 1000
@@ -41,17 +63,24 @@
 
 
 class StoreReader:
-    """Makes the calls of one feed; ``connect`` opens connections."""
+    """Makes the calls of one feed.
+
+    ``connect`` returns the connection to an address, which is opened at its first call.
+    """
 
     def __init__(
-        self, reactor, address: tuple[str, int], feed: Feed, connect=HttpConnection
+        self,
+        reactor,
+        address: tuple[str, int],
+        feed: Feed,
+        connect: Callable[[object, tuple[str, int]], Connection] = HttpConnection,
     ):
         self._reactor = reactor
         self._connect = connect
         self._store_connection = connect(reactor, address)
         self._feed = feed
         self.codec: PeerUpdateCodec | None = None
-        self._peer_connection: HttpConnection | None = None
+        self._peer_connection: Connection | None = None
         self.outcomes: dict[str, int] = {}
         self.call_latencies: deque[float] = deque(maxlen=MAX_LATENCY_SAMPLES)
         self._call_started_at = 0.0
@@ -178,7 +207,7 @@
     def _handle_answer(
         self,
         answer: Response | CallFailure,
-        connection: HttpConnection,
+        connection: Connection,
         decode: Callable[[Response], Decoded],
         on_decoded: Callable[[Decoded, float], None],
         on_failure: Callable[[str, str, float], None],
