--- a/tests/runner.py
+++ b/tests/runner.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -94,6 +95,8 @@
 
 def main():
     """Run the features; the exit status is 0 if only known failures occurred."""
+    # A shell's background job ignores interrupts, and so would all that it starts.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     REPORTS.mkdir(parents=True, exist_ok=True)
     paths = sorted(FEATURES.glob("*.feature"))
     wanted = sys.argv[1:]
