--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -43,6 +43,9 @@
 
 PROBE_INTERVAL_S = 0.5
 
+# More than changes in `historyS`, 20 s; older ones are not asked for in a case.
+HISTORY_EVENTS = 500
+
 BOUNDS = {
     "stableWindowMs": 4000,
     "drainTimeoutMs": 3000,
@@ -115,6 +118,7 @@
 
     def _note(self, kind, name, revision, text, deleted):
         self.events.append((kind, name, revision, text, deleted))
+        del self.events[:-HISTORY_EVENTS]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -210,9 +214,7 @@
     """Return a packet; addresses are as on the wire."""
     (src, sport), (dst, dport) = source, destination
     return (
-        HEAD.pack(
-            checksum, flags, 0, dport, src, sport, dst, echo, len(data), seq, ack
-        )
+        HEAD.pack(checksum, flags, 0, dport, src, sport, dst, echo, len(data), seq, ack)
         + data
     )
 
@@ -780,7 +782,7 @@
         for listener in self.reset_listeners:
             listener(flow, by, host)
 
-    def configure(self, version, routes, services):
+    def configure(self, version, routes, services, warmup_per_s=4.0, timeout_ms=2000):
         """Write a manifest: ``routes`` by name, ``services`` by name."""
         self.store.put(
             "config",
@@ -793,7 +795,7 @@
                         "host": address,
                         "pathPrefix": f"/{port}/",
                         "type": "safe",
-                        "timeoutMs": 2000,
+                        "timeoutMs": timeout_ms,
                         "targetLatencyMs": 500,
                         "priority": 1,
                         "service": service,
@@ -809,7 +811,7 @@
                         "protocol": "h1",
                         "tls": False,
                         "warmupS": 2.0,
-                        "warmupPerS": 0.0,
+                        "warmupPerS": warmup_per_s,
                     }
                     for name, max_conns in services.items()
                 ],
