--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""An entry is added to a zone without a seed, and later a host starts cold there."""
+"""A manifest of many routes changes in storms; memory over the limit ends a process."""
 
 import asyncio
 import sys
@@ -7,67 +7,72 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from deployment import BOUNDS, CaseError, ResetError, exit_with  # noqa: E402
+from deployment import CaseError, exit_with  # noqa: E402
 
-LINK = "127.77.4.1", 443
-FLOWS_PER_S = 40
-WARMUP_S = 2.0
-WARMUP_PER_S = 0.0
-LIMIT = WARMUP_PER_S * BOUNDS["warmupBurstFactor"] + BOUNDS["warmupSlack"]
-ADDED_AFTER_S = 40.0
+ROUTES = 1400
+MEMORY_MB = 139
+STORM_S = 4.0
+STORM_GAP_S = 0.33
+PAUSE_S = 1.0
+LENGTH_S = 95.0
 
 
 async def case(site, has_trouble):
     """Return what broke the rule."""
-    seeds = [site.entry_ip(1)]
-    site.add_entry("a", seeds=seeds)
-    for _ in range(2 if has_trouble else 3):
-        site.add_entry("b", seeds=seeds)
-    await site.add_host("link", "a")
+    broken = []
+    for number in (1, 2):
+        site.add_entry("a", seeds=[site.entry_ip(3 - number)])
     for _ in range(2):
-        await site.add_host("link", "b")
-    client = await site.add_client("b")
-    site.configure(5, {"link": (*LINK, "link")}, {"link": 2000})
-    await site.wait_ready(len(site.entries))
-    task = asyncio.create_task(keep_asking(client))
-    await asyncio.sleep(ADDED_AFTER_S)
-    if has_trouble:
-        site.add_entry("b", seeds=seeds)
-        await site.wait_ready(4)
-    await asyncio.sleep(8)  # All entries are in touch: the stable window has passed.
-    cold = await site.add_host("link", "b", cold_until=time.monotonic() + WARMUP_S)
-    site.record.write("cold host started", host=cold.id, limit=LIMIT)
-    started_at = site.record.now()
-    await asyncio.sleep(WARMUP_S + 1)
-    task.cancel()
-    taken = [at for at in cold.openings if at < started_at + WARMUP_S]
-    if not taken:
-        raise CaseError("the cold host got no flow")
-    return [
-        f"{sum(at <= each < at + 1 for each in taken)} opening packets reached the "
-        f"cold host in the second from {at:.3f} s; its limit is {LIMIT:g}"
-        for at in taken
-        if sum(at <= each < at + 1 for each in taken) > LIMIT
-    ]
+        await site.add_host("link", "a")
+    routes = {
+        f"link-{n}": (f"127.77.4.{1 + n % 200}", 400 + n // 200, "link")
+        for n in range(ROUTES)
+    }
+    site.configure(1, routes, {"link": 2000})
+    await site.wait_ready(2)
+    memory = asyncio.create_task(enforce_limit(site, broken))
+    started = time.monotonic()
+    version = 1
+    while time.monotonic() < started + LENGTH_S and not broken:
+        storm_ends_at = time.monotonic() + STORM_S
+        while has_trouble and time.monotonic() < storm_ends_at:
+            version += 1
+            # A version that changes a time-out of all routes.
+            site.configure(version, routes, {"link": 2000}, timeout_ms=2000 + version)
+            site.record.write("manifest confirmed", version=version)
+            await asyncio.sleep(STORM_GAP_S)
+        await asyncio.sleep(PAUSE_S)
+    if memory.done():
+        memory.result()
+    memory.cancel()
+    return broken
 
 
-async def keep_asking(client):
-    """Send requests at an even rate, a flow each."""
-    for number in range(100_000):
-        asyncio.create_task(ask(client, number))
-        await asyncio.sleep(1 / FLOWS_PER_S)
+async def enforce_limit(site, broken):
+    """End processes over the limit, as the platform does."""
+    while True:
+        for entry in site.entries:
+            status = entry.process.poll()
+            if status is not None:
+                if not any(entry.name in each for each in broken):
+                    raise CaseError(f"{entry.name} ended with {status}")
+                continue
+            used_mb = resident_mb(entry.process.pid)
+            site.record.write("memory", entry=entry.name, mb=round(used_mb, 1))
+            if used_mb > MEMORY_MB:
+                entry.end()
+                broken.append(
+                    f"{site.record.now():.1f} s: {entry.name} uses {used_mb:.0f} MB, "
+                    f"over its limit of {MEMORY_MB} MB, and is killed"
+                )
+        await asyncio.sleep(1)
 
 
-async def ask(client, number):
-    """Send one request on a flow of its own."""
-    flow = client.flow(LINK)
-    try:
-        if await flow.open():
-            await flow.ask(f"link-{number}")
-    except ResetError:
-        return
-    finally:
-        flow.close()
+def resident_mb(pid):
+    """Return the resident memory of a process."""
+    text = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(each for each in text.splitlines() if each.startswith("VmRSS:"))
+    return int(line.split()[1]) / 1024
 
 
 exit_with(__file__, case)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -43,6 +43,9 @@
 
 PROBE_INTERVAL_S = 0.5
 
+# Longer than any case.
+SILENCE_S = 300.0
+
 # More than changes in `historyS`, 20 s; older ones are not asked for in a case.
 HISTORY_EVENTS = 500
 
@@ -90,8 +93,8 @@
         self.objects = {}
         self.events = []
         self.page = 500
-        # Decides by kind and connection number whether a connection is silent.
-        self.is_silent = lambda kind, connection: False
+        # By kind: connections up to this number have gone silent.
+        self._silent = {}
         self._changed = asyncio.Event()
         self._connections = 0
 
@@ -116,6 +119,10 @@
             self.revision += 1
             self._note(kind, name, self.revision, known[1], True)
 
+    def silence(self, kind):
+        """Let the open connections for a kind go silent for good; new ones work."""
+        self._silent[kind] = self._connections
+
     def _note(self, kind, name, revision, text, deleted):
         self.events.append((kind, name, revision, text, deleted))
         del self.events[:-HISTORY_EVENTS]
@@ -147,8 +154,9 @@
                 values = dict(v.split("=", 1) for v in query.split("&") if v)
                 kind = path.rsplit("/", 1)[1]
                 body = await self._answer(kind, values)
-                while self.is_silent(kind, number):
-                    await asyncio.sleep(0.05)
+                if number <= self._silent.get(kind, 0):
+                    await asyncio.sleep(SILENCE_S)
+                    return
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                     b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
@@ -435,6 +443,8 @@
         self.reset_by = None
         self._event = asyncio.Event()
         self._answer = None
+        # The end of the request, until the host acknowledges it.
+        self._unacknowledged = None
 
     @property
     def port(self):
@@ -447,8 +457,11 @@
         self.client.site.record.write("opening sent", port=self.port)
         for copy, until_s in enumerate((*SYN_COPIES_S, OPEN_TIMEOUT_S)):
             self._send(SYN, ack=copy)
-            left_s = started + until_s - time.monotonic()
-            await self._wait(left_s)
+            while not (self.is_open or self.reset_by):
+                left_s = started + until_s - time.monotonic()
+                if left_s <= 0:
+                    break
+                await self._wait(left_s)
             if self.is_open or self.reset_by:
                 break
         return self.is_open
@@ -464,11 +477,15 @@
         ends_at, wait_s = time.monotonic() + deadline_s, FIRST_RETRANSMIT_S
         self._answer = None
         seq = self.seq
+        self._unacknowledged = (seq + len(data)) & MASK
         while self._answer is None and time.monotonic() < ends_at:
-            if self.reset_by:
-                raise ResetError(self.reset_by)
-            self._send(ACK, seq=seq, data=data)
-            await self._wait(min(wait_s, ends_at - time.monotonic()))
+            if self._unacknowledged is not None:
+                self._send(ACK, seq=seq, data=data)
+            due = min(time.monotonic() + wait_s, ends_at)
+            while self._answer is None and time.monotonic() < due:
+                if self.reset_by:
+                    raise ResetError(self.reset_by)
+                await self._wait(due - time.monotonic())
             wait_s = min(MAX_RETRANSMIT_S, wait_s * 2)
         if self.reset_by:
             raise ResetError(self.reset_by)
@@ -509,7 +526,11 @@
                 self.seq = packet.ack
                 self.ack = (packet.seq + 1) & MASK
                 self._send(ACK)
-        elif packet.data:
+            self._event.set()
+            return
+        if packet.ack == self._unacknowledged:
+            self._unacknowledged = None
+        if packet.data:
             if packet.seq == self.ack:
                 self.ack = (packet.seq + len(packet.data)) & MASK
                 self._answer = packet.data
