--- a/review/2/case.py
+++ b/review/2/case.py
@@ -50,7 +50,9 @@
     if has_trouble:
         site.record.write("burst", users=round(USERS * (BURST_X - 1)))
         burst = range(round(USERS * (BURST_X - 1)))
-        late = [asyncio.create_task(press(client, BURST_S * n / 25)) for n in burst]
+        late = [
+            asyncio.create_task(press(client, BURST_S * n / len(burst))) for n in burst
+        ]
         await asyncio.sleep(BURST_S)
         site.record.write("burst over")
         for task in late:
