--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -28,6 +28,9 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# The word that run.sh passes to a case, and whether it plays the disruption.
+DISRUPTIONS = {"with": True, "without": False}
+
 # sum, flags, pad, dport, src, sport, dst, echo, len, seq, ack
 HEAD = struct.Struct("<IBBH4sH4sIHII")
 SYN, ACK, FIN, RST = 4, 1, 8, 2
@@ -861,7 +864,11 @@
 
 def main(folder, case):
     """Run a case and return the exit status: 1 if it found the rule broken."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    disruption = sys.argv[1] if len(sys.argv) == 2 else None
+    if disruption not in DISRUPTIONS:
+        print(f"usage: case.py {'|'.join(DISRUPTIONS)}")
+        return NOT_RUN
+    has_trouble = DISRUPTIONS[disruption]
     record = Record(Path(folder) / "record.txt")
 
     async def run():
