--- a/kumquatshift/adapters/entry_metrics.py
+++ b/kumquatshift/adapters/entry_metrics.py
@@ -151,6 +151,11 @@
                 "Revision of the last change of a kind that is known.",
                 lambda feed=feed: feed.changed.number,
             )
+            add(
+                f"kumquatshift_{kind}_history_changes",
+                "Changes of a kind that are kept for peers.",
+                lambda feed=feed: feed.history_length(),
+            )
 
 
 def _feed_state(feed: Feed, now: float) -> dict:
@@ -161,6 +166,7 @@
         "era": status.revision.era if status else None,
         "revision": status.revision.number if status else None,
         "age_s": status.age_s if status else None,
+        "history_changes": feed.history_length(),
     }
 
 
--- a/kumquatshift/direct/feed.py
+++ b/kumquatshift/direct/feed.py
@@ -31,6 +31,7 @@
     WatchCall,
 )
 from .events import Event
+from .history import ChangeHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -131,9 +132,6 @@
 # reader.
 UPDATE_GRACE_S = 0.5
 
-# Changes kept for followers, enough to cover one or two lost heartbeats.
-MAX_HISTORY_CHANGES = 400
-
 # Time that a watch may take beyond the requested wait: a store that is slower by
 # a factor of a hundred answers in 0.4 s.
 WATCH_GRACE_S = 0.5
@@ -194,8 +192,7 @@
         self._known_revision = NO_REVISION
         self.changed = NO_REVISION
         self._items: dict[str, Item] = {}
-        self._history: list[tuple[Revision, Change]] = []
-        self._history_from = NO_REVISION
+        self._history = ChangeHistory()
         self._pages: list[Item] = []
         self._first_revision = NO_REVISION
         self._next_call_at = 0.0
@@ -231,11 +228,15 @@
         if self._known_revision == NO_REVISION:
             return None
         age_s = round(now - self.confirmed_at, 3)
-        since = self._history_from
+        since = self._history.since
         return FeedStatus(
             self.kind, self.is_reader, since, self.changed, self._known_revision, age_s
         )
 
+    def history_length(self) -> int:
+        """Return how many changes are kept for followers."""
+        return len(self._history)
+
     def note_suspension(self, seconds: float) -> None:
         """Record that the machine was suspended, which its steady clock leaves out."""
         self.confirmed_at -= seconds
@@ -465,10 +466,9 @@
         status = self.status(now)
         if status is None:
             return None
-        if revision < self._history_from:
+        if revision < self._history.since:
             return PeerUpdate(True, tuple(self._items.values()), (), status)
-        changes = tuple(change for at, change in self._history if at > revision)
-        return PeerUpdate(False, (), changes, status)
+        return PeerUpdate(False, (), self._history.after(revision), status)
 
     def handle_failure(self, failure: str, detail: str, now: float) -> None:
         """Record that a call to the store failed; the feed lists again.
@@ -564,7 +564,7 @@
     def _replace_items(
         self, items: tuple[Item, ...], revision: Revision, now: float
     ) -> None:
-        """Replace all items, and append the differences to the history.
+        """Replace all items, and add the differences to the history.
 
         A history never spans two eras: a follower may know changes of the earlier
         one that this entry has not seen, so it needs a full snapshot.
@@ -572,17 +572,17 @@
         before = self._items
         self._items = {item.name: item for item in items}
         if revision.era != self._known_revision.era:
-            self._history.clear()
-            self._history_from = self.changed = revision
+            self._history.restart(revision)
+            self.changed = revision
             if self._known_revision != NO_REVISION:
                 self._note_restore(revision, now)
             return
         for name, item in self._items.items():
             old = before.get(name)
             if old is None or old.revision < item.revision:
-                self._append_history(Change(item, False), revision)
+                self._add_to_history(Change(item, False), revision)
         for name in before.keys() - self._items.keys():
-            self._append_history(Change(before[name], True), revision)
+            self._add_to_history(Change(before[name], True), revision)
 
     def _apply_changes(
         self, changes: tuple[Change, ...], revision: Revision, now: float
@@ -610,14 +610,12 @@
             self._items.pop(change.item.name, None)
         else:
             self._items[change.item.name] = change.item
-        self._append_history(change, revision)
+        self._add_to_history(change, revision)
 
-    def _append_history(self, change: Change, revision: Revision) -> None:
+    def _add_to_history(self, change: Change, revision: Revision) -> None:
         """Add a change to the history that followers are served from."""
         self.changed = revision
-        self._history.append((revision, change))
-        if len(self._history) > MAX_HISTORY_CHANGES:
-            self._history_from, _ = self._history.pop(0)
+        self._history.append(change, revision)
 
     def _note_restore(self, revision: Revision, now: float) -> None:
         self._events.emit(
