--- a/kumquatshift/adapters/peer_service.py
+++ b/kumquatshift/adapters/peer_service.py
@@ -10,12 +10,13 @@
 from ..direct.lifecycle import Lifecycle
 from ..direct.members import (
     DISCOVERY_DELAYS_S,
-    DISCOVERY_RETRY_S,
     HEARTBEAT_INTERVAL_S,
+    QUERY_INTERVAL_S,
     READER_HEARTBEAT_INTERVAL_S,
     Member,
     Members,
     PeerHeartbeat,
+    names_digest,
 )
 from ..direct.peer_updates import PeerSelector, TransferLimiter
 from ..direct.warmup import ASSUMED_DOMAIN_ENTRIES, Warmup
@@ -26,6 +27,10 @@
 # within this time.
 DISCOVERY_S = 2.0
 
+# An entry that has found no other may have asked seeds that had just started. They
+# know all entries after one interval of queries.
+LONE_DISCOVERY_S = QUERY_INTERVAL_S + DISCOVERY_S
+
 # Changes that occur within this time are announced in one heartbeat.
 COALESCE_S = 0.01
 
@@ -88,12 +93,12 @@
             address,
             self._on_heartbeat,
             self._answer_member_query,
-            self._members.add_candidates,
+            self._on_members,
         )
         PageServer(self._reactor, address, {NEWS_PATH: self._update_page})
         for after_s in DISCOVERY_DELAYS_S:
             self._reactor.callLater(after_s, self._query_seeds)
-        self._reactor.callLater(DISCOVERY_RETRY_S, self._query_seeds_while_alone)
+        self._reactor.callLater(QUERY_INTERVAL_S, self._query_seeds_regularly)
         self._send_heartbeat()
 
     def follow(
@@ -133,18 +138,26 @@
     def _send_heartbeat(self) -> None:
         now = self._reactor.seconds()
         self._members.expire(now)
-        names = self._members.names()
-        is_discovery_over = now - self._started_at > DISCOVERY_S
-        self._warmup.entries = max(
-            len(names), 1 if is_discovery_over else ASSUMED_DOMAIN_ENTRIES
-        )
-        self._warmup.rank = names.index(self._members.me.name)
+        self._update_warmup(now)
         self._announced_state = self._urgent_state()
         self._port.send_heartbeat(self._build_heartbeat(now), self._members.addresses())
         is_reader_here = any(feed.is_reader for feed in self._feeds.values())
         wait_s = READER_HEARTBEAT_INTERVAL_S if is_reader_here else HEARTBEAT_INTERVAL_S
         self._heartbeat_timer = self._reactor.callLater(wait_s, self._send_heartbeat)
 
+    def _update_warmup(self, now: float) -> None:
+        """Set this entry's share of cold targets by the entries of the domain.
+
+        Soon after the start, entries that have only been named by a seed count too.
+        """
+        names = self._members.names()
+        discovery_s = DISCOVERY_S if len(names) > 1 else LONE_DISCOVERY_S
+        entries = len(names)
+        if now - self._started_at <= discovery_s:
+            entries = max(self._members.expected(), ASSUMED_DOMAIN_ENTRIES)
+        self._warmup.entries = entries
+        self._warmup.rank = names.index(self._members.me.name)
+
     def _check_suspension(self) -> None:
         """Tell the feeds if the machine was suspended since the last check.
 
@@ -183,7 +196,9 @@
 
     def _on_heartbeat(self, heartbeat: PeerHeartbeat) -> None:
         now = self._reactor.seconds()
-        self._members.receive_heartbeat(heartbeat, now)
+        if self._members.receive_heartbeat(heartbeat, now):
+            self._update_warmup(now)
+            self._greet([heartbeat.address])
         if heartbeat.domain != self._members.me.domain:
             return
         for suspect in heartbeat.suspects:
@@ -196,20 +211,44 @@
             if reader is not None and self._feeds[status.kind].lacks(status):
                 reader.wake(status.changed)
 
-    def _answer_member_query(self, sender: Member) -> tuple[Member, ...]:
-        """Return the live entries of the domain of the entry that queries."""
-        known = (*self._members.domain_members(sender.domain), self._members.me)
-        self._members.note_query(sender, self._reactor.seconds())
-        return tuple(m for m in known if m.domain == sender.domain)
+    def _on_members(self, members: tuple[Member, ...]) -> None:
+        self._greet_candidates(self._members.add_candidates(members))
+
+    def _greet_candidates(self, candidates: list[Member]) -> None:
+        """Let entries that were unknown until now know of this one."""
+        if candidates:
+            self._update_warmup(self._reactor.seconds())
+            self._greet([member.address for member in candidates])
+
+    def _greet(self, addresses: list[tuple[str, int]]) -> None:
+        """Send a heartbeat without waiting for its interval."""
+        heartbeat = self._build_heartbeat(self._reactor.seconds())
+        self._port.send_heartbeat(heartbeat, addresses)
+
+    def _answer_member_query(
+        self, sender: Member, known: int | None
+    ) -> tuple[Member, ...]:
+        """Return the live entries of the domain of the entry that queries.
+
+        Returns none if these are the ones of the digest ``known``.
+        """
+        self._greet_candidates(
+            self._members.note_query(sender, self._reactor.seconds())
+        )
+        members = self._members.domain_members(sender.domain)
+        if names_digest(member.name for member in members) == known:
+            return ()
+        return members
 
     def _query_seeds(self) -> None:
-        self._port.send_member_query(self._members.me, self._members.seeds())
+        members = self._members
+        known = names_digest(members.names())
+        self._port.send_member_query(members.me, known, members.seeds())
 
-    def _query_seeds_while_alone(self) -> None:
+    def _query_seeds_regularly(self) -> None:
         self._members.drop_candidates()
-        if not self._members.peers():
-            self._query_seeds()
-        self._reactor.callLater(DISCOVERY_RETRY_S, self._query_seeds_while_alone)
+        self._query_seeds()
+        self._reactor.callLater(QUERY_INTERVAL_S, self._query_seeds_regularly)
 
     def _update_page(self, query: bytes) -> PageResponse:
         try:
--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -47,7 +47,7 @@
         reactor,
         address: tuple[str, int],
         on_heartbeat: Callable[[PeerHeartbeat], None],
-        on_member_query: Callable[[Member], tuple[Member, ...]],
+        on_member_query: Callable[[Member, int | None], tuple[Member, ...]],
         on_members: Callable[[tuple[Member, ...]], None],
     ):
         self.malformed = 0
@@ -74,10 +74,13 @@
             self._send(data, address)
 
     def send_member_query(
-        self, me: Member, addresses: tuple[tuple[str, int], ...]
+        self, me: Member, known: int, addresses: tuple[tuple[str, int], ...]
     ) -> None:
-        """Ask entries which other entries of the domain of ``me`` they know."""
-        data = json.dumps({"question": me}).encode()
+        """Ask entries which other entries of the domain of ``me`` they know.
+
+        An entry that knows those of the digest ``known`` does not answer.
+        """
+        data = json.dumps({"question": me, "known": known}).encode()
         for address in addresses:
             self._send(data, address)
 
@@ -100,8 +103,10 @@
         if "beat" in message:
             self._on_heartbeat(_parse_heartbeat(message["beat"]))
         elif "question" in message:
-            members = self._on_member_query(_parse_member(message["question"]))
-            self._send(json.dumps({"members": members}).encode(), sender)
+            asker = _parse_member(message["question"])
+            members = self._on_member_query(asker, message.get("known"))
+            if members:
+                self._send(json.dumps({"members": members}).encode(), sender)
         elif "members" in message:
             self._on_members(tuple(_parse_member(each) for each in message["members"]))
         else:
--- a/kumquatshift/direct/members.py
+++ b/kumquatshift/direct/members.py
@@ -37,14 +37,15 @@
 MIN_ENTRIES_FOR_READERS = 6
 
 # A seed remembers the entries that have queried it, so that entries of one domain
-# find each other through a seed in another. Entries without peers query again.
+# find each other through a seed in another.
 QUERIER_TTL_S = 30.0
 MAX_QUERIERS = 2000
 
-# When to query the seeds for other entries: several times soon after the start,
-# as all entries may start at once, and later while no peer is known.
+# When to query the seeds for other entries: several times soon after the start, as all
+# entries may start at once, and regularly later. These queries keep the seeds aware of
+# entries that start, return or outlive a seed's restart.
 DISCOVERY_DELAYS_S = (0.0, 0.5, 1.5, 4.0)
-DISCOVERY_RETRY_S = 5.0
+QUERY_INTERVAL_S = 5.0
 
 
 class PeerHeartbeat(NamedTuple):
@@ -87,32 +88,43 @@
         self._candidates: dict[str, Member] = {}
         self._queriers: dict[str, tuple[Member, float]] = {}
 
-    def receive_heartbeat(self, heartbeat: PeerHeartbeat, now: float) -> None:
-        """Process a heartbeat."""
+    def receive_heartbeat(self, heartbeat: PeerHeartbeat, now: float) -> bool:
+        """Process a heartbeat; return whether it is a new peer's first one."""
         if heartbeat.name == self.me.name:
-            return
-        if (
+            return False
+        is_new_peer = (
             heartbeat.name not in self._heartbeats
             and heartbeat.domain == self.me.domain
-        ):
+        )
+        if is_new_peer:
             self._events.emit(Event.PEER_JOINED, peer=heartbeat.name)
         self._heartbeats[heartbeat.name] = ReceivedHeartbeat(heartbeat, now)
         self._candidates.pop(heartbeat.name, None)
+        return is_new_peer
+
+    def add_candidates(self, members: Iterable[Member]) -> list[Member]:
+        """Add entries of the own domain that have not sent a heartbeat yet.
 
-    def add_candidates(self, members: Iterable[Member]) -> None:
-        """Add entries of the own domain that have not sent a heartbeat yet."""
+        Returns those that were unknown until now.
+        """
+        added = []
         for member in members:
-            is_unknown = (
-                member.name not in self._heartbeats and member.name != self.me.name
-            )
-            if is_unknown and member.domain == self.me.domain:
-                self._candidates[member.name] = member
-
-    def note_query(self, member: Member, now: float) -> None:
-        """Record an entry that queried this one, to name it to others in its domain."""
-        self.add_candidates((member,))
+            is_peer = member.name in self._heartbeats or member.name == self.me.name
+            if is_peer or member.domain != self.me.domain:
+                continue
+            if self._candidates.get(member.name) != member:
+                added.append(member)
+            self._candidates[member.name] = member
+        return added
+
+    def note_query(self, member: Member, now: float) -> list[Member]:
+        """Record an entry that queried this one, to name it to others in its domain.
+
+        Returns it if it is a candidate that was unknown until now.
+        """
         if len(self._queriers) < MAX_QUERIERS or member.name in self._queriers:
             self._queriers[member.name] = member, now
+        return self.add_candidates((member,))
 
     def expire(self, now: float) -> None:
         """Drop entries whose last heartbeat or query is too old."""
@@ -137,14 +149,18 @@
         ]
 
     def domain_members(self, domain: str) -> tuple[Member, ...]:
-        """Return known entries of any domain, from heartbeats and queries."""
-        received = {
-            heartbeat.name: Member(heartbeat.name, heartbeat.domain, heartbeat.address)
-            for heartbeat, _ in self._heartbeats.values()
+        """Return known entries of any domain, this one included."""
+        found = {
+            member.name: member
+            for member, _ in self._queriers.values()
+            if member.domain == domain
         }
-        queriers = {name: member for name, (member, _) in self._queriers.items()}
-        found = {**queriers, **received}
-        return tuple(each for each in found.values() if each.domain == domain)
+        if domain == self.me.domain:
+            for heartbeat, _ in self.peers():
+                name = heartbeat.name
+                found[name] = Member(name, heartbeat.domain, heartbeat.address)
+            found[self.me.name] = self.me
+        return tuple(found.values())
 
     def addresses(self) -> list[tuple[str, int]]:
         """Return the addresses to send heartbeats to: peers and candidates."""
@@ -152,6 +168,10 @@
         found.update(member.address for member in self._candidates.values())
         return sorted(found)
 
+    def expected(self) -> int:
+        """Return the number of entries in the domain if all candidates are alive."""
+        return len(self.names()) + len(self._candidates)
+
     def drop_candidates(self) -> None:
         """Drop entries that were named by others but sent no heartbeat."""
         self._candidates.clear()
@@ -187,5 +207,10 @@
         return self.me.name in eligible[:READERS_PER_DOMAIN]
 
 
+def names_digest(names: Iterable[str]) -> int:
+    """Return a digest by which two entries see that they know the same entries."""
+    return xxhash.xxh32_intdigest("\n".join(sorted(names)).encode())
+
+
 def _score(kind: str, name: str) -> int:
     return xxhash.xxh32_intdigest(f"{kind}/{name}".encode())
