--- a/kumquatshift/direct/failure_detector.py
+++ b/kumquatshift/direct/failure_detector.py
@@ -7,6 +7,10 @@
 without progress since its last known answer, or one flow has done so repeatedly.
 This covers targets that stop responding under traffic while the platform still
 lists them, which lasts three heartbeats or more.
+
+A live target answers on its open flows, but a full one is silent to callers that open
+another. So unanswered opening packets only keep new flows away from a target; its open
+flows are lost once open flows go unanswered.
 """
 
 from __future__ import annotations
@@ -31,6 +35,9 @@
 # Random packet loss is unlikely to stall several flows of one target at once.
 MIN_STALLED_FLOWS = 2
 
+# A single peer may itself have a faulty link.
+MIN_REPORTING_PEERS = 2
+
 # A caller's second copy comes 600 ms after the first packet. Losing two packets
 # in a row is rare enough that moving such flows of a healthy target costs little.
 MIN_FLOW_REPEATS = 2
@@ -63,7 +70,12 @@
 
 
 class Suspect(NamedTuple):
-    """A target incarnation that has stopped answering, as reported by an entry."""
+    """A target incarnation that has stopped answering, as reported by an entry.
+
+    ``complaints`` counts open flows that the target leaves unanswered. With any,
+    ``silent_s`` is for how long these have been so, and otherwise the time since the
+    target's last answer.
+    """
 
     name: str
     incarnation: int
@@ -128,10 +140,7 @@
             return
         if not flow.is_stalled:
             flow.is_stalled = True
-            if not target.complaints:
-                target.silent_since = max(flow.stalled_since, target.last_answer_at)
-            target.complaints += 1
-            self._note_complaint(target, now)
+            self._add_complaint(target, flow, now)
         if self._is_silent(target, flow, now):
             self._suspect(target, now, flows_stuck=target.complaints)
 
@@ -149,17 +158,27 @@
         """
         if not target.suspected or now - target.suspected_at < REFUTATION_WINDOW_S:
             return False
-        if not self._link_works_since(target.silent_since):
-            # This entry's own link may be at fault.
-            return False
-        if not target.complaints and len(target.peer_complaints) < 2:
-            # A single peer may itself have a faulty link.
+        unanswered_since = self._open_flows_unanswered_since(target)
+        if unanswered_since is None or not self._link_works_since(unanswered_since):
+            # Without an answer from elsewhere, this entry's own link may be at fault.
             return False
-        complaints = target.complaints + sum(target.peer_complaints.values())
-        if complaints < MIN_STALLED_FLOWS:
-            return False
-        silent_s = now - max(target.last_answer_at, target.silent_since)
-        return silent_s > DEAD_AFTER_S and self._is_probed(target, now)
+        return now - unanswered_since > DEAD_AFTER_S and self._is_probed(target, now)
+
+    def _open_flows_unanswered_since(self, target: LiveTarget) -> float | None:
+        """Return since when a target has left several open flows unanswered.
+
+        None means that it has not, as far as this entry and its peers know.
+        """
+        reports = target.peer_reports.values()
+        reported = sum(report.complaints for report in reports)
+        if target.open_complaints + reported < MIN_STALLED_FLOWS:
+            return None
+        if target.open_complaints:
+            return target.unanswered_since
+        long_silent = [r for r in reports if r.complaints and r.silent_s > DEAD_AFTER_S]
+        if len(long_silent) < MIN_REPORTING_PEERS:
+            return None
+        return max(target.last_answer_at, target.silent_since)
 
     def suspected(self) -> set[LiveTarget]:
         """Return the currently suspected targets."""
@@ -169,7 +188,7 @@
         """Return the suspicions based on this entry's own observations."""
         return tuple(
             Suspect(
-                t.name, t.incarnation, t.complaints, round(now - t.last_answer_at, 3)
+                t.name, t.incarnation, t.open_complaints, round(_silence(t, now), 3)
             )
             for t in self._suspected
             if t.listed and t.complaints and self._link_works_since(t.silent_since)
@@ -196,7 +215,7 @@
         ):
             self._refutations.setdefault(target, now)
             return
-        target.peer_complaints[source] = suspect.complaints
+        target.peer_reports[source] = suspect
         if not target.suspected:
             target.silent_since = max(now - suspect.silent_s, target.last_answer_at)
             self._suspect(target, now, source=source)
@@ -241,6 +260,18 @@
             return float("-inf")
         return times[-count]
 
+    def _add_complaint(self, target: LiveTarget, flow: Flow, now: float) -> None:
+        """Count a flow that has stalled against its target."""
+        since = max(flow.stalled_since, target.last_answer_at)
+        if not target.complaints:
+            target.silent_since = since
+        target.complaints += 1
+        if flow.is_open:
+            if not target.open_complaints:
+                target.unanswered_since = since
+            target.open_complaints += 1
+        self._note_complaint(target, now)
+
     def _note_complaint(self, target: LiveTarget, now: float) -> None:
         """Record when targets got complaints, ordered from oldest to latest."""
         self._complaint_times.pop(target, None)
@@ -289,9 +320,9 @@
 
     def _trust(self, target: LiveTarget, answered_at: float) -> None:
         target.last_answer_at = answered_at
-        target.complaints = 0
-        if target.peer_complaints:
-            target.peer_complaints.clear()
+        target.complaints = target.open_complaints = 0
+        if target.peer_reports:
+            target.peer_reports.clear()
         if target.suspected:
             target.suspected = False
             self._suspected.discard(target)
@@ -302,6 +333,13 @@
             )
 
 
+def _silence(target: LiveTarget, now: float) -> float:
+    """Return for how long a target has been silent, on open flows if there are any."""
+    if target.open_complaints:
+        return now - target.unanswered_since
+    return now - target.last_answer_at
+
+
 def may_probe(target: LiveTarget, now: float) -> bool:
     """Return whether a suspected target may get a new flow as a probe."""
     return now >= target.next_probe_at
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
+if TYPE_CHECKING:
+    from .failure_detector import Suspect
+
 # Cookies of unlisted targets are kept this long so that their open flows are
 # still recognised: flows may live for a minute, and then stay idle for a while.
 GONE_TARGET_TTL_S = 90.0
@@ -39,7 +42,8 @@
 
     ``last_answer_at`` is when a packet last proved that the target answers.
     ``complaints`` counts flows that have retransmitted without progress since
-    then, and ``peer_complaints`` those that each peer has reported.
+    then, and ``open_complaints`` those of them that were open; these have been
+    unanswered since ``unanswered_since``. ``peer_reports`` has what peers report.
     ``probe_sent_at`` is when a suspected target was first sent a packet that
     requires an answer, after the latest concurrent silence of other targets.
     ``busy`` counts its flows with a request in progress, or just answered.
@@ -61,7 +65,8 @@
         "name",
         "next_cold_flow",
         "next_probe_at",
-        "peer_complaints",
+        "open_complaints",
+        "peer_reports",
         "last_answer_at",
         "service",
         "silent_since",
@@ -70,6 +75,7 @@
         "suspected_at",
         "probe_sent_at",
         "sequence",
+        "unanswered_since",
         "unlisted_at",
     )
 
@@ -81,7 +87,9 @@
         self.flows = 0
         self.busy = 0
         self.complaints = 0
-        self.peer_complaints: dict[str, int] = {}
+        self.open_complaints = 0
+        self.unanswered_since = now
+        self.peer_reports: dict[str, Suspect] = {}
         self.last_answer_at = now
         self.silent_since = now
         self.suspected = False
--- a/kumquatshift/standins/direct_flows.py
+++ b/kumquatshift/standins/direct_flows.py
@@ -93,6 +93,7 @@
 
     While ``is_unresponsive``, it drops all packets and sends none. If
     `unanswered_every` is set, every n-th request is processed but never answered.
+    With `max_flows` flows it is full, and sends nothing to callers that open another.
     A request that finds the queue full is lost, or answered by a refusal if
     ``sends_refusals``.
     """
@@ -106,6 +107,7 @@
         self.queue = 8
         self.is_unresponsive = False
         self.unanswered_every = 0
+        self.max_flows: int | None = None
         self.sends_refusals = False
         self.openings: list[float] = []
         self.runs: list[bytes] = []
@@ -141,6 +143,8 @@
     def _accept(self, header, endpoints):
         flow = self._flows.get(endpoints)
         if flow is None:
+            if self.max_flows is not None and len(self._flows) >= self.max_flows:
+                return
             self.openings.append(self.clock.seconds())
             seq = int.from_bytes(self.key, "big") * 7919 & SEQUENCE_MASK
             flow = self._flows[endpoints] = _TargetFlow(
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -147,3 +147,24 @@
     When every target stops answering
     And a caller closes a flow after 0.1 s of which this entry saw only the SYN
     Then no entry has seen a target answer since
+
+  # Guards against resets of open flows because their live target is full: it sends
+  # nothing to callers that open further flows, like one that has ended.
+  Scenario Outline: Open flows of full targets are not reset while others press
+    Given a direct site of entries in <entries> with 4 targets in a and 0 in b
+    And its entries share their suspicions with each other
+    When 40 callers send 100 requests a second for 2 s
+    And <full> accept no more flows, and each request there takes <work> s
+    And 30 new callers send 60 requests a second for 3 s, while the others <do>
+    Then no entry resets a flow
+
+    Examples:
+      | entries          | full              | work | do                         |
+      | a                | the first target  | 0.02 | are idle                   |
+      | a, a             | the first target  | 0.02 | are idle                   |
+      | a, a             | the first targets | 0.02 | are idle                   |
+      | a, a, a, a, a, a | the first target  | 0.02 | are idle                   |
+      | a, a             | the first target  | 0.4  | send 2 requests every 1 s  |
+      | a, a, a, a, a, a | the first target  | 0.4  | send 2 requests every 1 s  |
+      | a, a, a, a, a, a | the first target  | 0.4  | send 4 requests every 1 s  |
+      | a, a, a, a, a, a | the first targets | 0.4  | send 4 requests every 1 s  |
--- a/tests/features/steps/direct_suspicion_steps.py
+++ b/tests/features/steps/direct_suspicion_steps.py
@@ -324,3 +324,43 @@
 def step_no_answer_seen(context):
     seen = [t.last_answer_at for t in context.direct.entries[0].site.targets]
     assert max(seen) <= context.since, seen
+
+
+@when("the {which} accept no more flows, and each request there takes {work_s:g} s")
+def step_full(context, which, work_s):
+    site = context.direct
+    names = ["a0"] if which == "first target" else ["a0", "a1", "a2"]
+    context.full = [site.target(name) for name in names]
+    for target in context.full:
+        target.max_flows = len(target._flows)
+        target.work_s = work_s
+    sources = {ends[0] for target in context.full for ends in target._flows}
+    context.kept = [c for c in context.callers if c._source in sources]
+    assert len(context.kept) > 4, len(context.kept)
+
+
+@when(
+    "{count:d} new callers send {per_s:g} requests a second for {seconds:g} s, while"
+    " the others {activity}"
+)
+def step_press(context, count, per_s, seconds, activity):
+    site = context.direct
+    new = [site.add_caller() for _ in range(count)]
+    if activity != "are idle":
+        asked = int(activity.split()[1])
+        ask_regularly(site, context.kept, asked, seconds)
+    load(site, new, per_s, seconds)
+
+
+def ask_regularly(site, callers, count, seconds):
+    """Let ``count`` of the callers send a request each second, others each time."""
+
+    def ask(turn):
+        for number in range(count):
+            caller = callers[(turn * count + number) % len(callers)]
+            if all(request.outcome for request in caller.requests[-1:]):
+                caller.ask(f"kept-{turn}-{number}".encode())
+        if turn < seconds:
+            site.clock.callLater(1.0, ask, turn + 1)
+
+    site.clock.callLater(0.9, ask, 0)
