--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -35,6 +35,17 @@
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 
 
+# What decoding raises for a message that no entry sends.
+MALFORMED = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class UnreadableNewsError(ValueError):
     """The update from another entry could not be decoded."""
 
@@ -96,7 +107,7 @@
                 return
             try:
                 self._dispatch(json.loads(data), sender)
-            except (ValueError, TypeError, KeyError, IndexError):
+            except MALFORMED:
                 self.malformed += 1
 
     def _dispatch(self, message: dict, sender: tuple[str, int]) -> None:
@@ -166,7 +177,7 @@
                 tuple(Change(_parse_item(item), bool(gone)) for item, gone in changes),
                 _parse_status(json.loads(status)),
             )
-        except (ValueError, TypeError, IndexError, zlib.error) as exc:
+        except (*MALFORMED, zlib.error) as exc:
             raise UnreadableNewsError(f"cannot decode peer update: {exc!r}") from exc
 
 
--- a/kumquatshift/adapters/platform_answers.py
+++ b/kumquatshift/adapters/platform_answers.py
@@ -1,6 +1,5 @@
 """Reads the replies of the platform's object API."""
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -8,6 +7,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from .. import tolerant_json
 from ..codec import object_from_json
 from ..engine.objects import Kind, Versioned
 from ..eras import ordered
@@ -40,9 +40,12 @@
 
 
 def parse(data: bytes) -> object:
-    """Return the JSON value of a reply, None if it is not JSON."""
+    """Return the JSON value of a reply, None if it is not JSON.
+
+    Objects in it that cannot be read are found invalid when they are decoded.
+    """
     try:
-        return json.loads(data)
+        return tolerant_json.loads(data)[0]
     except ValueError:
         return None
 
@@ -91,10 +94,10 @@
     items, skipped = [], []
     for item in value.get("items", []):
         obj = decode_or_skip(item, reply.era)
-        if obj is None:
-            skipped.append((item.get("kind"), item.get("name")))
-        else:
+        if obj is not None:
             items.append(obj)
+        elif isinstance(item, dict):
+            skipped.append((str(item.get("kind")), str(item.get("name"))))
     version = ordered(reply.era, value["version"])
     return result.Success(Listing(version, tuple(items), tuple(skipped)))
 
--- a/kumquatshift/adapters/platform_stream.py
+++ b/kumquatshift/adapters/platform_stream.py
@@ -1,10 +1,9 @@
 """The HTTP stream of a watch of the platform."""
 
-import json
-
 from twisted.internet.protocol import Protocol
 from twisted.protocols.basic import LineOnlyReceiver
 
+from .. import tolerant_json
 from ..eras import ordered
 from ..errors import ErrorKind, Failure
 from ..platform_port import Expired, Progress
@@ -43,7 +42,7 @@
         if self._stopped or not line.strip():
             return
         try:
-            value = json.loads(line)
+            value, _ = tolerant_json.loads(line)
         except ValueError:
             self._end(Failure(ErrorKind.UNAVAILABLE, "a line of the watch is not JSON"))
             self.transport.loseConnection()
--- a/kumquatshift/fields.py
+++ b/kumquatshift/fields.py
@@ -1,6 +1,5 @@
 """Validators of single fields, and the messages for invalid values."""
 
-import math
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -62,7 +61,8 @@
         """Return a float."""
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise Invalid
-        if not math.isfinite(value) or not self.low <= value <= self.high:
+        # False for NaN as well; integers beyond the range of floats compare exactly.
+        if not self.low <= value <= self.high:
             raise Invalid
         return float(value)
 
--- a/kumquatshift/platform/objects.py
+++ b/kumquatshift/platform/objects.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
+import reprlib
 import socket
 
+from .. import tolerant_json
 from ..direct.calls import Change, Changes, Item, Page, Revision
 from ..direct.routes import (
     DEFAULT_OBJECTIVE_S,
@@ -31,31 +32,44 @@
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+# Content of an object that cannot be read; no kind of object accepts it.
+UNREADABLE = None
+
+# What decoding raises for values of the wrong type or range.
+INVALID = (ValueError, TypeError, KeyError, AttributeError, OverflowError, OSError)
+
+
 class UnreadableError(ValueError):
     """An object or response does not conform to the platform's API."""
 
 
 def page_from(body: bytes, era: int = 0) -> Page:
-    """Decode one page of a list; raises `UnreadableError`."""
+    """Decode one page of a list; raises `UnreadableError`.
+
+    An object of another writer that cannot be read does not affect the others.
+    """
     try:
-        answer = json.loads(body)
-        items = tuple(_item(each, era) for each in answer["items"])
+        answer, is_sound = tolerant_json.loads(body)
+        items = tuple(_item(each, era, is_sound) for each in answer["items"])
         revision = Revision(era, int(answer["currentRev"]))
         return Page(items, bool(answer.get("more")), revision)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except INVALID as exc:
         raise UnreadableError(f"invalid list response: {exc!r}") from exc
 
 
 def changes_from(body: bytes, era: int = 0) -> Changes:
-    """Decode the response to a watch; raises `UnreadableError`."""
+    """Decode the response to a watch; raises `UnreadableError`.
+
+    As in a list, an object that cannot be read does not affect the others.
+    """
     try:
-        answer = json.loads(body)
+        answer, is_sound = tolerant_json.loads(body)
         changes = tuple(
-            Change(_item(each["object"], era), bool(each["deleted"]))
+            Change(_item(each["object"], era, is_sound), bool(each["deleted"]))
             for each in answer["events"]
         )
         return Changes(changes, Revision(era, int(answer["currentRev"])))
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except INVALID as exc:
         raise UnreadableError(f"invalid watch response: {exc!r}") from exc
 
 
@@ -80,7 +94,7 @@
             idle_timeout_s=float(spec["limits"]["idleTimeoutMs"]) / 1000,
             limits=tuple(_limits(each) for each in spec.get("services", ())),
         )
-    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
+    except INVALID as exc:
         raise UnreadableError(f"invalid configuration: {exc!r}") from exc
 
 
@@ -113,16 +127,17 @@
             warmup_left_s=warmup_left_ms / 1000,
             sequence=_within(spec.get("sequence", 0), 0, 1 << 63),
         )
-    except (ValueError, TypeError, KeyError, AttributeError, OSError) as exc:
+    except INVALID as exc:
         raise UnreadableError(f"invalid target {name!r}: {exc!r}") from exc
-    except OverflowError as exc:
-        raise UnreadableError(f"invalid target {name!r}: name too long") from exc
 
 
-def _item(wire: dict, era: int) -> Item:
+def _item(wire: dict, era: int, is_sound: bool) -> Item:
     meta = wire["meta"]
     revision = Revision(era, int(meta["revision"]))
-    return Item(_text(meta["name"]), revision, wire.get("spec"))
+    spec = wire.get("spec")
+    if not is_sound and not tolerant_json.is_sound(spec):
+        spec = UNREADABLE
+    return Item(_text(meta["name"]), revision, spec)
 
 
 def _route(wire: dict) -> Route:
@@ -161,13 +176,14 @@
 
 def _text(value: object) -> str:
     if not isinstance(value, str) or not value:
-        raise ValueError(f"expected a non-empty string, found {value!r}")
+        raise ValueError(f"expected a non-empty string, found {reprlib.repr(value)}")
+    value.encode()  # Raises ValueError for a lone surrogate, which logs cannot hold.
     return value
 
 
 def _within(value: object, low: int, high: int) -> int:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise ValueError(f"expected a number, found {value!r}")
+        raise ValueError(f"expected a number, found {reprlib.repr(value)}")
     if not low <= value <= high:
-        raise ValueError(f"expected {low} to {high}, found {value!r}")
+        raise ValueError(f"expected {low} to {high}, found {reprlib.repr(value)}")
     return value
--- a/kumquatshift/standins/metadata_store.py
+++ b/kumquatshift/standins/metadata_store.py
@@ -13,6 +13,9 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 MAX_WAIT_MS = 30_000
+
+# Marks the place of a `Raw` content in a response that is being encoded.
+RAW_MARK = "raw content "
 PAGE_SIZE = 50
 
 # A response over a slow link is sent in this many chunks.
@@ -41,6 +44,10 @@
     only: frozenset[str] = frozenset()
 
 
+class Raw(bytes):
+    """Content of an object that is sent as it is, whether it can be read or not."""
+
+
 @dataclass(frozen=True)
 class StoreCopy:
     """State of a store at one moment, from which it can be restored."""
@@ -134,6 +141,20 @@
         ]
 
 
+def encode(value: object) -> bytes:
+    """Return a response as JSON, with `Raw` contents as they are."""
+    raws: list[bytes] = []
+
+    def mark(raw: Raw) -> str:
+        raws.append(raw)
+        return f"{RAW_MARK}{len(raws) - 1}"
+
+    body = json.dumps(value, default=mark).encode()
+    for number, raw in enumerate(raws):
+        body = body.replace(json.dumps(f"{RAW_MARK}{number}").encode(), raw)
+    return body
+
+
 class StoreApi(Resource):
     """HTTP API of the store."""
 
@@ -228,7 +249,7 @@
             self._watches.remove(watch)
 
     def _send(self, request, value):
-        body = json.dumps(value).encode()
+        body = encode(value)
         if request.channel is None:
             return  # The caller has disconnected.
         if self.faults.cut_answers:
--- a/tests/support/feed_domain.py
+++ b/tests/support/feed_domain.py
@@ -96,7 +96,8 @@
         if change.is_deleted:
             self.values.pop(name, None)
         else:
-            self.reverted |= self.values.get(name, -1) > value
+            if isinstance(value, int):
+                self.reverted |= self.values.get(name, -1) > value
             self.values[name] = value
             self.known_at.setdefault((name, value), now)
         self.node.announce_changes()
