--- a/kumquatshift/direct/routes.py
+++ b/kumquatshift/direct/routes.py
@@ -88,6 +88,10 @@
             self.priority_range = min(priorities), max(priorities)
         return True
 
+    def destinations(self) -> set[bytes]:
+        """Return the addresses and ports that are routed."""
+        return set(self._routes)
+
     def get(self, destination: bytes) -> Route | None:
         """Return the route of an address and port, or None."""
         return self._routes.get(destination)
--- a/kumquatshift/direct/site.py
+++ b/kumquatshift/direct/site.py
@@ -44,8 +44,10 @@
         ``revision`` is that of the store's object, for the log.
         """
         self._has_configuration = True
+        before = self.routes.destinations()
         if not self.routes.put(cfg):
             return False
+        self.targets.forget_destinations(before - self.routes.destinations())
         self._events.emit(
             Event.CONFIG_IN_FORCE,
             version=cfg.version,
--- a/kumquatshift/direct/targets.py
+++ b/kumquatshift/direct/targets.py
@@ -229,6 +229,13 @@
                 self._by_cookie.clear()
                 self._services_stale = True
 
+    def forget_destinations(self, destinations: Iterable[bytes]) -> None:
+        """Drop the cookies of destinations that are no longer routed."""
+        for destination in destinations:
+            self._by_cookie.pop(destination, None)
+            for target in self._remembered.values():
+                target.cookies.pop(destination, None)
+
     def _unlist(self, target: LiveTarget, now: float) -> None:
         target.listed = False
         self._gone.add(target)
--- a/tests/features/steps/direct_history_steps.py
+++ b/tests/features/steps/direct_history_steps.py
@@ -13,7 +13,9 @@
 from kumquatshift.direct.warmup import Warmup, WarmupBounds
 from kumquatshift.platform import objects
 from kumquatshift.platform.feed_listeners import ConfigurationListener
+from kumquatshift.standins.direct_flows import Outcome
 from kumquatshift.standins.metadata_store import MetadataStore
+from tests.support.direct_site import DirectSite
 from tests.support.feed_domain import RecordingListener
 
 KIND = objects.CONFIGURATIONS
@@ -115,6 +117,51 @@
         context.entry.watch()
 
 
+@given("a site of 2 entries and {count:d} targets")
+def step_site(context, count):
+    context.direct = DirectSite()
+    for _ in range(2):
+        context.direct.add_entry("a")
+    for number in range(count):
+        context.direct.add_target(f"t{number}", "a")
+    route_and_ask(context.direct, 1)
+
+
+@when(
+    "{count:d} routes are added one after the other, get a flow and are removed again"
+)
+def step_routes(context, count):
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    for number in range(count):
+        route_and_ask(context.direct, number + 2)
+
+
+@then("the entries keep at most {kb:d} kB more about targets")
+def step_site_memory(context, kb):
+    gc.collect()
+    snapshot = tracemalloc.take_snapshot()
+    only_targets = tracemalloc.Filter(True, "*/kumquatshift/direct/targets.py")
+    traces = snapshot.filter_traces([only_targets]).statistics("filename")
+    used = sum(each.size for each in traces)
+    print(f"{used / 1000:.0f} kB")
+    assert used <= kb * 1000, used
+
+
+def route_and_ask(site, version):
+    """Activate a configuration with one route of its own, and use it at each entry."""
+    destination = ("198.18.1.1", 1000 + version)
+    site.configure(version=version, destinations=(destination,))
+    reached = [site.entries[0]]
+    caller = site.add_caller(entries=reached, destination=destination)
+    for entry in site.entries:
+        reached[0] = entry
+        caller.ask(b"hello")
+        site.run(0.1, 0.01)
+        assert caller.requests[-1].outcome is Outcome.ANSWERED
+    caller.close()
+
+
 @then("it uses no more memory than for {copies:d} copies of the configuration")
 def step_memory(context, copies):
     gc.collect()
