--- a/kumquatshift/adapters/peer_service.py
+++ b/kumquatshift/adapters/peer_service.py
@@ -201,8 +201,7 @@
             self._greet([heartbeat.address])
         if heartbeat.domain != self._members.me.domain:
             return
-        for suspect in heartbeat.suspects:
-            self._failure_detector.receive_suspect(suspect, heartbeat.name, now)
+        self._failure_detector.receive_suspects(heartbeat.suspects, heartbeat.name, now)
         for refutation in heartbeat.refutations:
             self._failure_detector.receive_refutation(refutation, now)
         self.announce_changes()
--- a/kumquatshift/direct/failure_detector.py
+++ b/kumquatshift/direct/failure_detector.py
@@ -204,7 +204,27 @@
             for t in self._refutations
         )
 
-    def receive_suspect(self, suspect: Suspect, source: str, now: float) -> None:
+    def receive_suspects(
+        self, suspects: tuple[Suspect, ...], source: str, now: float
+    ) -> None:
+        """Process all suspicions that a peer has; reports of others are withdrawn."""
+        reported = {(suspect.name, suspect.incarnation) for suspect in suspects}
+        for target in self._suspected:
+            if (target.name, target.incarnation) not in reported:
+                target.peer_reports.pop(source, None)
+        for suspect in suspects:
+            self._receive_suspect(suspect, source, now)
+
+    def receive_refutation(self, refutation: Refutation, now: float) -> None:
+        """Process a peer's report that a target answers it."""
+        target = self._find(refutation.name, refutation.incarnation)
+        if target is None:
+            return
+        answered_at = now - refutation.answered_s_ago
+        if answered_at > target.silent_since:
+            self._trust(target, max(answered_at, target.last_answer_at))
+
+    def _receive_suspect(self, suspect: Suspect, source: str, now: float) -> None:
         """Adopt a peer's suspicion, or refute it if the target answers here."""
         target = self._find(suspect.name, suspect.incarnation)
         if target is None:
@@ -220,15 +240,6 @@
             target.silent_since = max(now - suspect.silent_s, target.last_answer_at)
             self._suspect(target, now, source=source)
 
-    def receive_refutation(self, refutation: Refutation, now: float) -> None:
-        """Process a peer's report that a target answers it."""
-        target = self._find(refutation.name, refutation.incarnation)
-        if target is None:
-            return
-        answered_at = now - refutation.answered_s_ago
-        if answered_at > target.silent_since:
-            self._trust(target, max(answered_at, target.last_answer_at))
-
     def _link_works_since(self, silent_since: float) -> bool:
         """Return whether any target has answered packets sent since then."""
         return self._last_delivery_at >= silent_since + SILENCE_THRESHOLD_S
--- a/tests/features/direct_suspicion.feature
+++ b/tests/features/direct_suspicion.feature
@@ -113,6 +113,16 @@
       | 1     | is forwarded  |
       | 2     | is reset      |
 
+  # Guards against resets because of reports that no longer hold.
+  Scenario: A report that another entry has withdrawn resets no flow
+    Given a direct site of entries in a with 4 targets in a and 0 in b
+    When 20 callers send 40 requests a second for 1 s
+    And for 2 s only flows of the other targets carry packets
+    And 2 other entries report 3 unanswered flows of the first target
+    And the first of them has no suspicion in its next heartbeat
+    And after 0.2 s a flow of the first target receives its next packet
+    Then that flow is forwarded
+
   Scenario: An entry that was cut off suspects no target afterwards
     Given a direct site of entries in a with 4 targets in a and 0 in b
     When 20 callers send 40 requests a second for 1 s
