--- a/kumquatshift/adapters/peers.py
+++ b/kumquatshift/adapters/peers.py
@@ -10,6 +10,7 @@
 import socket
 import zlib
 from collections.abc import Callable
+from typing import NamedTuple
 
 from ..direct.calls import (
     NO_REVISION,
@@ -50,6 +51,22 @@
     """The update from another entry could not be decoded."""
 
 
+class MemberQuery(NamedTuple):
+    """Asks for other entries than those of the digest ``known``, if it has one."""
+
+    asker: Member
+    known: int | None
+
+
+class MemberList(NamedTuple):
+    """The answer to a member query."""
+
+    members: tuple[Member, ...]
+
+
+Message = PeerHeartbeat | MemberQuery | MemberList
+
+
 class HeartbeatPort(Descriptor):
     """Sends and receives heartbeats, member queries and the answers to them."""
 
@@ -106,22 +123,21 @@
                 self.lost += 1  # ICMP: the port of a peer is closed.
                 return
             try:
-                self._dispatch(json.loads(data), sender)
+                message = _parse_message(data)
             except MALFORMED:
                 self.malformed += 1
-
-    def _dispatch(self, message: dict, sender: tuple[str, int]) -> None:
-        if "beat" in message:
-            self._on_heartbeat(_parse_heartbeat(message["beat"]))
-        elif "question" in message:
-            asker = _parse_member(message["question"])
-            members = self._on_member_query(asker, message.get("known"))
+            else:
+                self._dispatch(message, sender)
+
+    def _dispatch(self, message: Message, sender: tuple[str, int]) -> None:
+        if isinstance(message, PeerHeartbeat):
+            self._on_heartbeat(message)
+        elif isinstance(message, MemberQuery):
+            members = self._on_member_query(message.asker, message.known)
             if members:
                 self._send(json.dumps({"members": members}).encode(), sender)
-        elif "members" in message:
-            self._on_members(tuple(_parse_member(each) for each in message["members"]))
         else:
-            self.malformed += 1
+            self._on_members(message.members)
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         try:
@@ -189,6 +205,16 @@
     return text
 
 
+def _parse_message(data: bytes) -> Message:
+    """Decode a datagram; raises one of `MALFORMED`."""
+    wire = json.loads(data)
+    if "beat" in wire:
+        return _parse_heartbeat(wire["beat"])
+    if "question" in wire:
+        return MemberQuery(_parse_member(wire["question"]), wire.get("known"))
+    return MemberList(tuple(_parse_member(each) for each in wire["members"]))
+
+
 def _parse_heartbeat(wire: list) -> PeerHeartbeat:
     name, domain, address, incarnation, leaving, reaches, *lists = wire
     statuses, suspects, refutations = lists
